--- a/src/bin/yewvalve-adapter/main.rs
+++ b/src/bin/cottonhill-benchlink/main.rs
@@ -4,19 +4,19 @@
 mod settings;
 mod wire;
 
+use cottonhill::Coordinator;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
 use wire::{Batch, Input, Reply, Roster};
-use yewvalve::Coordinator;
 
 fn main() -> ExitCode {
     std::panic::set_hook(Box::new(|_| {}));
     match run(&mut BufReader::new(io::stdin().lock()), &mut BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("yewvalve-adapter: {message}");
+            eprintln!("cottonhill-benchlink: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/yewvalve-adapter/settings.rs
+++ b/src/bin/cottonhill-benchlink/settings.rs
@@ -1,9 +1,9 @@
 //! The settings text of the wire, `path=value` a line, as the module's [`Settings`]. Keys that are not known
 //! are skipped; a key that is missing where it is needed, or out of range, is named in the error.
 
+use cottonhill::interface::{Budget, Class, Effect, Settings};
 use std::collections::BTreeMap;
 use std::str::FromStr;
-use yewvalve::interface::{Budget, Class, Effect, Settings};
 
 struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
 
--- a/src/bin/yewvalve-adapter/wire.rs
+++ b/src/bin/cottonhill-benchlink/wire.rs
@@ -1,8 +1,8 @@
 //! The layout of batches and replies, byte by byte.
 
+use cottonhill::interface::*;
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read};
-use yewvalve::interface::*;
 
 const BATCH_HEADER: usize = 20;
 const EVENT: usize = 56;
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -9,7 +9,7 @@
 limits.retry_after=true\nlimits.max_retry_after_ns=7\nnever.heard.of=this\n";
 
 fn adapter(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_yewvalve-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cottonhill-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
