--- a/src/bin/cottonhill-benchlink/main.rs
+++ b/src/bin/cottonhill-benchlink/main.rs
@@ -1,10 +1,9 @@
 //! Runs the decision module on the simulator's wire: batches come in on standard input, replies go out on
 //! standard output. It only translates; every decision is in `src/choice.rs`.
 
-mod settings;
 mod wire;
 
-use cottonhill::Coordinator;
+use cottonhill::{settings, Coordinator};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
--- /dev/null
+++ b/src/bin/cottonhill.rs
@@ -0,0 +1,5 @@
+//! One real mixer on sockets.
+
+fn main() -> std::process::ExitCode {
+    cottonhill::program::run()
+}
--- /dev/null
+++ b/src/program/config.rs
@@ -0,0 +1,100 @@
+//! The configuration: one JSON file, with the settings flattened to the text of the simulator's wire so that
+//! one parser serves both.
+
+use crate::interface::Settings;
+use crate::protocol::discovery::Listing;
+use crate::protocol::query::Names;
+use crate::settings::{self, Site};
+use crate::transport::Addresses;
+use serde::Deserialize;
+use serde_json::Value;
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    #[serde(default)]
+    known: Listing,
+    settings: Value,
+}
+
+/// All that a start needs.
+#[derive(Debug)]
+pub struct Config {
+    pub name: String,
+    pub site: Site,
+    pub settings: Settings,
+    pub seed: u64,
+    pub known: Listing,
+    pub addresses: Addresses,
+    pub names: Names,
+}
+
+impl Config {
+    pub fn read(text: &str) -> Result<Config, String> {
+        let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        let text = flatten(&file.settings)?;
+        let (settings, site) = (settings::parse(&text)?, settings::site(&text)?);
+        let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| format!("bad seed '{}'", file.seed))?;
+        let names = Names {
+            classes: site.classes.clone(),
+            tenants: site.tenants.clone(),
+            deadlines: site.deadlines.clone(),
+            shards: site.shards,
+        };
+        let addresses = Addresses {
+            listen: file.listen,
+            discovery: file.discovery,
+            peer_listen: file.peer_listen.filter(|_| site.peers),
+            peers: file.peers,
+            peers_all: file.peers_all,
+        };
+        Ok(Config { name: file.name, site, settings, seed, known: file.known, addresses, names })
+    }
+}
+
+/// Nested JSON as lines of `path=value`.
+pub fn flatten(settings: &Value) -> Result<String, String> {
+    if !settings.is_object() {
+        return Err("settings are no object".into());
+    }
+    let mut out = String::new();
+    put(&mut out, "", settings);
+    Ok(out)
+}
+
+fn put(out: &mut String, path: &str, value: &Value) {
+    let under = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, value)| put(out, &under(name), value)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            put(out, &under("count"), &items.len().into());
+            items.iter().enumerate().for_each(|(i, item)| put(out, &under(&i.to_string()), item));
+        }
+        Value::Array(items) => {
+            let items: Vec<String> = items.iter().map(plain).collect();
+            let _ = writeln!(out, "{path}={}", items.join(","));
+        }
+        _ => {
+            let _ = writeln!(out, "{path}={}", plain(value));
+        }
+    }
+}
+
+/// A value in one word: blanks and commas would split it, a line's end would forge a setting.
+fn plain(value: &Value) -> String {
+    match value {
+        Value::Null => String::new(),
+        Value::String(text) => text.replace([' ', ',', '\n', '\r'], "_"),
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/src/program/mod.rs
@@ -0,0 +1,53 @@
+//! Start and end of the program.
+
+mod config;
+
+pub use config::Config;
+
+use crate::routing::State;
+use crate::transport::{self, Clock};
+use std::process::ExitCode;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
+use tracing::level_filters::LevelFilter;
+
+/// Runs the mixer until it is told to end. A start that fails leaves one line on standard error.
+pub fn run() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("cottonhill: {}", message.replace('\n', " "));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), String> {
+    let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set")?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+    let config = Config::read(&text).map_err(|e| format!("{path}: {e}"))?;
+    let level = std::env::var("COTTONHILL_LOG").ok().and_then(|level| level.parse().ok());
+    let level: LevelFilter = level.unwrap_or(LevelFilter::INFO);
+    tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(std::io::stderr).init();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+    tokio::task::LocalSet::new().block_on(&runtime, serve(config))
+}
+
+async fn serve(config: Config) -> Result<(), String> {
+    let (told, terminate) = mpsc::channel(1);
+    let mut signals = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    tokio::task::spawn_local(async move {
+        while signals.recv().await.is_some() {
+            tracing::info!("told to end");
+            let _ = told.try_send(());
+        }
+    });
+    let Config { name, site, settings, seed, known, addresses, names } = config;
+    tracing::info!(name, listen = %addresses.listen, known = known.endpoints.len(), "starting");
+    let clock = Clock::start();
+    let state = State::new(clock.now(), site, settings, seed, &known);
+    let listen = addresses.listen;
+    let served = transport::serve(state, clock, names, addresses, terminate).await;
+    served.map_err(|e| format!("cannot listen on {listen}: {e}"))
+}
--- /dev/null
+++ b/src/protocol/query.rs
@@ -0,0 +1,195 @@
+//! Queries as clients put them over HTTP, and the replies: the only place that knows this dialect. Another
+//! protocol makes the same [`Asked`] from its own requests and renders the same [`Reply`].
+
+use super::http::{bad, Rejection, Request, Response};
+use crate::interface::Nanos;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// Names by which requests speak of classes and tenants, and the bounds of a query.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    /// For each class, how long a client waits that does not say.
+    pub deadlines: Vec<Nanos>,
+    pub shards: u32,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct AskedPart {
+    pub shard: u32,
+    pub weight: f64,
+    pub work: Option<Nanos>,
+}
+
+/// One query, whatever protocol brought it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Query {
+    /// The client's name for it; its parts' names begin with it.
+    pub name: String,
+    pub class: u16,
+    pub tenant: u32,
+    /// How long the client waits, from the moment it sent the query.
+    pub timeout: Nanos,
+    pub repeat: bool,
+    pub parts: Vec<AskedPart>,
+    pub text: Bytes,
+}
+
+/// What a client wants.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Asked {
+    Query(Query),
+    Ready,
+    Stats,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Hit {
+    pub shard: u32,
+    pub doc: String,
+}
+
+/// What a client is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    Answer {
+        whole: bool,
+        hits: Vec<Hit>,
+    },
+    Refused {
+        come_back: Option<Nanos>,
+    },
+    Failed,
+    Ready(bool),
+    /// The counters, as JSON.
+    Stats(Vec<u8>),
+    Rejected(Rejection),
+}
+
+#[derive(Deserialize)]
+struct Body {
+    shards: Vec<Shard>,
+    q: String,
+}
+
+#[derive(Deserialize)]
+struct Shard {
+    shard: u32,
+    weight: f64,
+    /// Microseconds.
+    cost: Option<f64>,
+}
+
+/// Reads what a request wants, or says what is wrong with it.
+pub fn read(request: &Request, names: &Names) -> Result<Asked, Rejection> {
+    let path = request.path.split(['?', '#']).next().unwrap_or_default();
+    let wanted = |method: &'static str, asked: Asked| {
+        let fits = request.method == method;
+        fits.then_some(asked).ok_or(Rejection { status: 405, why: "GET" })
+    };
+    match path {
+        "/-/ready" => return wanted("GET", Asked::Ready),
+        "/-/stats" => return wanted("GET", Asked::Stats),
+        _ => {}
+    }
+    let first = path.strip_prefix('/').unwrap_or_default().split('/').next().unwrap_or_default();
+    let class = names.classes.iter().position(|name| name == first);
+    let class = class.ok_or(Rejection { status: 404, why: "no such class" })?;
+    if request.method != "POST" {
+        return Err(Rejection { status: 405, why: "POST" });
+    }
+    let name = request.header("x-request-id").ok_or(bad("X-Request-ID is missing"))?;
+    // It goes into lines between mixer and leaf server: a blank or a control character would forge one.
+    if name.is_empty() || name.len() > 128 || !name.bytes().all(|b| b.is_ascii_graphic()) {
+        return Err(bad("X-Request-ID is not a plain word"));
+    }
+    let timeout = match request.header("x-timeout") {
+        Some(text) => duration(text).ok_or(bad("X-Timeout is not a number and m or u"))?,
+        None => names.deadlines.get(class).copied().unwrap_or_default(),
+    };
+    let tenant = match request.header("x-tenant-id") {
+        Some(tenant) if !names.tenants.is_empty() => {
+            let tenant = tenant.replace([' ', ','], "_");
+            names.tenants.iter().position(|name| *name == tenant).ok_or(bad("unknown tenant"))?
+        }
+        None if !names.tenants.is_empty() => return Err(bad("X-Tenant-Id is missing")),
+        _ => 0,
+    };
+    let body: Body = serde_json::from_slice(&request.body).map_err(|_| bad("body is not a query"))?;
+    Ok(Asked::Query(Query {
+        name: name.to_string(),
+        class: class as u16,
+        tenant: tenant as u32,
+        timeout,
+        repeat: request.header("x-retried") == Some("1"),
+        parts: parts(body.shards, names.shards)?,
+        text: Bytes::from(body.q),
+    }))
+}
+
+/// The parts, each shard once: a second one would have the same name at the leaf server.
+fn parts(shards: Vec<Shard>, most: u32) -> Result<Vec<AskedPart>, Rejection> {
+    let mut seen = BTreeSet::new();
+    if shards.is_empty() {
+        return Err(bad("no shards"));
+    }
+    let part = |s: Shard| {
+        if s.shard >= most || !seen.insert(s.shard) {
+            return Err(bad("a shard that does not exist or is named twice"));
+        }
+        if !s.weight.is_finite() || s.weight < 0.0 {
+            return Err(bad("a weight that is no share"));
+        }
+        let work = s.cost.filter(|c| *c >= 0.0).map(|c| (c * 1e3) as Nanos);
+        Ok(AskedPart { shard: s.shard, weight: s.weight, work })
+    };
+    shards.into_iter().map(part).collect()
+}
+
+/// A number followed by `m` (milliseconds) or `u` (microseconds).
+fn duration(text: &str) -> Option<Nanos> {
+    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let unit = match unit {
+        "m" => 1e6,
+        "u" => 1e3,
+        _ => return None,
+    };
+    let number: f64 = number.trim().parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)?;
+    // An hour is longer than any deadline; more would only overflow sums of times.
+    Some((number * unit).min(3.6e12) as Nanos)
+}
+
+#[derive(Serialize)]
+struct AnswerBody<'a> {
+    complete: bool,
+    hits: &'a [Hit],
+}
+
+fn note(text: &str) -> Vec<u8> {
+    serde_json::to_vec(&serde_json::json!({ "error": text })).unwrap_or_default()
+}
+
+/// Renders a reply; `close` says that this connection ends with it.
+pub fn render(reply: &Reply, close: bool) -> Response {
+    let plain = |status: u16, body: Vec<u8>| Response { status, body, close, ..Response::default() };
+    match reply {
+        Reply::Answer { whole, hits } => {
+            let body = serde_json::to_vec(&AnswerBody { complete: *whole, hits });
+            plain(200, body.unwrap_or_default())
+        }
+        Reply::Refused { come_back } => {
+            Response { retry_after: *come_back, ..plain(503, note("refused, try again")) }
+        }
+        Reply::Failed => plain(504, note("failed")),
+        Reply::Ready(true) => plain(200, b"{\"ready\":true}".to_vec()),
+        Reply::Ready(false) => plain(503, b"{\"ready\":false}".to_vec()),
+        Reply::Stats(text) => plain(200, text.clone()),
+        Reply::Rejected(Rejection { status: 405, why }) => {
+            Response { allow: Some(why), ..plain(405, note("method not allowed")) }
+        }
+        Reply::Rejected(Rejection { status, why }) => plain(*status, note(why)),
+    }
+}
--- /dev/null
+++ b/src/routing/link.rs
@@ -0,0 +1,200 @@
+//! The states of one connection to a leaf server. It holds what waits to be written and what is out, and says
+//! what may be written next; it never touches a socket. Whatever happens, each attempt leaves it once.
+
+use crate::interface::Nanos;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+/// One attempt at a part, by the part's id and the attempt's number.
+pub type AttemptId = (u64, u8);
+
+/// What is written as one frame.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Job {
+    Call(Vec<(AttemptId, Rc<str>)>),
+    GiveUp(Rc<str>),
+    Probe(u64),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Connecting,
+    Open,
+}
+
+/// An attempt on the connection: since when it is written, if it is.
+#[derive(Clone, Debug)]
+struct Out {
+    attempt: AttemptId,
+    written: Option<Nanos>,
+}
+
+#[derive(Debug)]
+pub struct Link {
+    phase: Phase,
+    waiting: VecDeque<Job>,
+    /// The frame that the socket has and has not yet taken whole.
+    writing: Option<Job>,
+    out: BTreeMap<Rc<str>, Out>,
+    /// Probes written, in order; answers carry no id, so one that is given up keeps its place as none.
+    probes: VecDeque<Option<u64>>,
+    heard: Nanos,
+    /// It swallowed an attempt: nothing new goes out on it until it is heard again.
+    silent: bool,
+    /// Since when nothing is out or waiting.
+    pub idle_since: Nanos,
+}
+
+impl Link {
+    pub fn new(now: Nanos) -> Link {
+        Link {
+            phase: Phase::Connecting,
+            waiting: VecDeque::new(),
+            writing: None,
+            out: BTreeMap::new(),
+            probes: VecDeque::new(),
+            heard: now,
+            silent: false,
+            idle_since: now,
+        }
+    }
+
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Whether one more attempt under this wire id may go out on it. Two of one id can't be told apart.
+    pub fn has_room(&self, streams: usize, wire: &str) -> bool {
+        !self.silent && self.load() < streams && !self.out.contains_key(wire)
+    }
+
+    fn load(&self) -> usize {
+        let probes = self.waiting.iter().chain(&self.writing).filter(|job| matches!(job, Job::Probe(_)));
+        self.out.len() + self.probes.len() + probes.count()
+    }
+
+    /// Nothing is out, waiting or half written.
+    pub fn is_idle(&self) -> bool {
+        self.load() == 0 && self.waiting.is_empty() && self.writing.is_none()
+    }
+
+    pub fn is_silent(&self) -> bool {
+        self.silent
+    }
+
+    /// Queues an attempt; it joins the last call that waits, if that has room and holds only this turn's.
+    pub fn queue(&mut self, attempt: AttemptId, wire: Rc<str>, join: bool, call_parts: usize) {
+        self.out.insert(wire.clone(), Out { attempt, written: None });
+        match self.waiting.back_mut() {
+            Some(Job::Call(call)) if join && call.len() < call_parts => call.push((attempt, wire)),
+            _ => self.waiting.push_back(Job::Call(vec![(attempt, wire)])),
+        }
+    }
+
+    pub fn queue_probe(&mut self, probe: u64) {
+        self.waiting.push_back(Job::Probe(probe));
+    }
+
+    pub fn opened(&mut self, now: Nanos) {
+        self.phase = Phase::Open;
+        self.heard = now;
+    }
+
+    /// The next frame for the socket, one at a time: what waits here can still be dropped whole.
+    pub fn take_next(&mut self) -> Option<Job> {
+        if self.phase != Phase::Open || self.writing.is_some() {
+            return None;
+        }
+        self.writing = self.waiting.pop_front();
+        self.writing.clone()
+    }
+
+    /// The socket has taken the last byte of the frame: from here on its parts may run.
+    pub fn wrote(&mut self, now: Nanos) {
+        match self.writing.take() {
+            Some(Job::Call(call)) => {
+                for (attempt, wire) in call {
+                    if let Some(out) = self.out.get_mut(&wire).filter(|out| out.attempt == attempt) {
+                        out.written = Some(now);
+                    }
+                }
+            }
+            Some(Job::Probe(probe)) => self.probes.push_back(Some(probe)),
+            Some(Job::GiveUp(_)) | None => {}
+        }
+    }
+
+    /// A sign of life; a connection that is heard is no longer held to swallow attempts.
+    pub fn hear(&mut self, now: Nanos) {
+        (self.heard, self.silent) = (now, false);
+    }
+
+    /// The attempt that an answer is for; none where it was given up before. What has not been written yet
+    /// can't have been answered: that is an earlier attempt's answer under the same id.
+    pub fn answered(&mut self, wire: &str) -> Option<AttemptId> {
+        self.out.get(wire).filter(|out| out.written.is_some())?;
+        self.out.remove(wire).map(|out| out.attempt)
+    }
+
+    /// The probe that an answer is for: the outer none where none was asked.
+    pub fn probed(&mut self) -> Option<u64> {
+        self.probes.pop_front().flatten()
+    }
+
+    /// Gives a probe up; its answer, should it come, is not mistaken for the next one's.
+    pub fn drop_probe(&mut self, probe: u64) {
+        self.waiting.retain(|job| *job != Job::Probe(probe));
+        if let Some(kept) = self.probes.iter_mut().find(|kept| **kept == Some(probe)) {
+            *kept = None;
+        }
+    }
+
+    /// Gives an attempt up. What waits is dropped whole and never goes out; what the socket has is followed by
+    /// a frame that says so. True if it may have run. After `patience` without a sound since it was written,
+    /// the connection is held to swallow attempts.
+    pub fn drop_attempt(&mut self, attempt: AttemptId, now: Nanos, patience: Nanos) -> bool {
+        let Some(wire) = self.wire_of(attempt) else { return false };
+        let Some(out) = self.out.remove(&wire) else { return false };
+        let mut waited = false;
+        for job in &mut self.waiting {
+            if let Job::Call(call) = job {
+                let before = call.len();
+                call.retain(|(a, _)| *a != attempt);
+                waited |= call.len() < before;
+            }
+        }
+        self.waiting.retain(|job| !matches!(job, Job::Call(call) if call.is_empty()));
+        if waited {
+            return false;
+        }
+        self.waiting.push_back(Job::GiveUp(wire));
+        if let Some(written) = out.written {
+            self.silent |= self.heard <= written && now.saturating_sub(written) >= patience;
+        }
+        true
+    }
+
+    fn wire_of(&self, attempt: AttemptId) -> Option<Rc<str>> {
+        self.out.iter().find(|(_, out)| out.attempt == attempt).map(|(wire, _)| wire.clone())
+    }
+
+    /// The attempts that have not gone to the socket yet.
+    pub fn unsent(&self) -> Vec<AttemptId> {
+        let calls = self.waiting.iter().filter_map(|job| match job {
+            Job::Call(call) => Some(call),
+            _ => None,
+        });
+        calls.flatten().map(|(attempt, _)| *attempt).collect()
+    }
+
+    /// The connection is over: all attempts on it, with whether they may have run, and all probes.
+    pub fn end(self) -> (Vec<(AttemptId, bool)>, Vec<u64>) {
+        let attempts = self.out.values().map(|out| (out.attempt, out.written.is_some())).collect();
+        let queued = self.waiting.iter().chain(&self.writing).filter_map(|job| match job {
+            Job::Probe(probe) => Some(*probe),
+            _ => None,
+        });
+        let probes = self.probes.iter().flatten().copied().chain(queued).collect();
+        (attempts, probes)
+    }
+}
--- /dev/null
+++ b/src/routing/messages.rs
@@ -0,0 +1,83 @@
+//! What goes into the reducer and what it asks for.
+
+use super::counters::Counters;
+use crate::interface::Nanos;
+use crate::protocol::discovery::Listing;
+use crate::protocol::http::Rejection;
+use crate::protocol::leaf::{FromLeaf, ToLeaf};
+use crate::protocol::query::{Asked, Reply};
+use std::net::SocketAddr;
+
+/// A client's connection and a connection to a leaf server, each by a number that is never used again.
+pub type ClientId = u64;
+pub type LinkId = u64;
+
+#[derive(Debug)]
+pub enum Input {
+    ClientOpened {
+        client: ClientId,
+    },
+    /// The last byte of a request came in at `arrived`.
+    Asked {
+        client: ClientId,
+        arrived: Nanos,
+        asked: Result<Asked, Rejection>,
+    },
+    ClientClosed {
+        client: ClientId,
+    },
+    LinkOpened {
+        link: LinkId,
+    },
+    /// The socket has taken the last byte of the frame it was given.
+    LinkWrote {
+        link: LinkId,
+    },
+    LinkHeard {
+        link: LinkId,
+        frame: FromLeaf,
+    },
+    /// Refused, broken or ended.
+    LinkClosed {
+        link: LinkId,
+    },
+    Listed(Listing),
+    Datagram {
+        from: u32,
+        bytes: Vec<u8>,
+    },
+    /// A planned end.
+    Terminate,
+    /// What was ready has been put in; now decide.
+    Turn,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    Reply {
+        client: ClientId,
+        reply: Reply,
+        close: bool,
+    },
+    /// Close a client's connection unless a request has come in on it.
+    CloseClient {
+        client: ClientId,
+    },
+    Connect {
+        link: LinkId,
+        address: SocketAddr,
+    },
+    Write {
+        link: LinkId,
+        frame: ToLeaf,
+    },
+    CloseLink {
+        link: LinkId,
+    },
+    Datagram {
+        to: Option<u32>,
+        bytes: Vec<u8>,
+    },
+    StopListening,
+    Exit(Box<Counters>),
+}
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,11 @@
+//! The reducer: all state of the mixer and every change to it. Inputs go in one by one, effects come out; no
+//! socket and no clock is touched here. The decisions come from [`crate::Coordinator`], once a turn.
+
+pub mod counters;
+pub mod link;
+pub mod messages;
+mod replicas;
+mod state;
+
+pub use messages::{ClientId, Effect, Input, LinkId};
+pub use state::State;
--- /dev/null
+++ b/src/routing/replicas.rs
@@ -0,0 +1,94 @@
+//! The leaf servers as discovery has told them, and their numbers for the decision module.
+
+use super::messages::LinkId;
+use crate::interface::{ListKind, Member, ReplicaId, Standing};
+use crate::protocol::discovery::{Endpoint, Listing, Status};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+#[derive(Debug)]
+pub struct Replica {
+    pub address: SocketAddr,
+    pub standing: Standing,
+    /// Its connections, oldest first.
+    pub links: Vec<LinkId>,
+}
+
+/// Every replica ever listed: one that has gone stays known under its number.
+#[derive(Debug, Default)]
+pub struct Replicas {
+    numbers: BTreeMap<String, ReplicaId>,
+    known: BTreeMap<ReplicaId, Replica>,
+    zones: Vec<String>,
+    /// The version of the last list taken.
+    pub index: u64,
+}
+
+/// A zone that the settings do not name: nobody's own.
+const NO_ZONE: u16 = u16::MAX;
+
+impl Replicas {
+    pub fn new(zones: Vec<String>) -> Replicas {
+        Replicas { zones, ..Replicas::default() }
+    }
+
+    pub fn get(&self, id: ReplicaId) -> Option<&Replica> {
+        self.known.get(&id)
+    }
+
+    pub fn get_mut(&mut self, id: ReplicaId) -> Option<&mut Replica> {
+        self.known.get_mut(&id)
+    }
+
+    pub fn any_ready(&self) -> bool {
+        self.known.values().any(|r| r.standing == Standing::Ready)
+    }
+
+    /// Takes a list over. Returns its lines for the module and the replicas that may get nothing new now.
+    pub fn take(&mut self, listing: &Listing) -> (ListKind, Vec<Member>, Vec<ReplicaId>) {
+        self.index = listing.index;
+        let members: Vec<Member> = listing.endpoints.iter().filter_map(|e| self.member(e)).collect();
+        let mut stopped = Vec::new();
+        if listing.snapshot {
+            let listed: BTreeSet<ReplicaId> = members.iter().map(|m| m.replica).collect();
+            for (id, replica) in self.known.iter_mut().filter(|(id, _)| !listed.contains(id)) {
+                replica.standing = Standing::Gone;
+                stopped.push(*id);
+            }
+        }
+        stopped.extend(members.iter().filter(|m| m.standing != Standing::Ready).map(|m| m.replica));
+        let kind = if listing.snapshot { ListKind::Full } else { ListKind::Changes };
+        (kind, members, stopped)
+    }
+
+    fn member(&mut self, endpoint: &Endpoint) -> Option<Member> {
+        let standing = match endpoint.status {
+            Status::Up => Standing::Ready,
+            Status::Draining => Standing::Draining,
+            Status::Removed => Standing::Gone,
+        };
+        let number = self.numbers.get(&endpoint.name).copied();
+        let known = number.and_then(|id| self.known.get(&id)).map(|r| r.address);
+        // What is gone needs no address; what is up can't be reached without one.
+        let Some(address) = endpoint.address.parse().ok().or(known) else {
+            tracing::warn!(
+                name = endpoint.name,
+                address = endpoint.address,
+                "listed without a usable address"
+            );
+            return None;
+        };
+        let next = ReplicaId(self.numbers.len() as u64 + 1);
+        let id = *self.numbers.entry(endpoint.name.clone()).or_insert(next);
+        let replica = self.known.entry(id).or_insert(Replica { address, standing, links: Vec::new() });
+        (replica.address, replica.standing) = (address, standing);
+        let zone = self.zones.iter().position(|zone| *zone == endpoint.zone);
+        Some(Member {
+            replica: id,
+            cell: endpoint.group,
+            zone: zone.map_or(NO_ZONE, |zone| zone as u16),
+            started: endpoint.since_ms.saturating_mul(1_000_000),
+            standing,
+        })
+    }
+}
--- a/src/bin/cottonhill-benchlink/settings.rs
+++ b/src/settings.rs
@@ -1,13 +1,32 @@
-//! The settings text of the wire, `path=value` a line, as the module's [`Settings`]. Keys that are not known
-//! are skipped; a key that is missing where it is needed, or out of range, is named in the error.
+//! The settings, `path=value` a line, as the module's [`Settings`] and as the [`Site`] that the sockets need.
+//! Keys that are not known are skipped; a key that is missing where it is needed, or out of range, is named in
+//! the error. The simulator's wire carries this text; a real mixer's JSON is flattened to it first.
 
-use cottonhill::interface::{Budget, Class, Effect, Settings};
+use crate::interface::{Budget, Class, Effect, Settings};
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
 struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
 
-impl Pairs<'_> {
+impl<'a> Pairs<'a> {
+    fn read(text: &'a str) -> Result<Self, String> {
+        let lines = text.lines().filter(|line| !line.trim().is_empty());
+        let split = |line| str::split_once(line, '=').ok_or(format!("settings line without '=': {line}"));
+        lines.map(split).collect::<Result<_, _>>().map(Pairs)
+    }
+
+    /// The items of a list of plain values.
+    fn list(&self, key: &str) -> Vec<String> {
+        let items = self.0.get(key).into_iter().flat_map(|text| text.split(','));
+        items.filter(|item| !item.is_empty()).map(str::to_string).collect()
+    }
+
+    /// The names of a list of objects.
+    fn names(&self, list: &str) -> Result<Vec<String>, String> {
+        let count = self.get::<usize>(&format!("{list}.count"))?.unwrap_or_default();
+        (0..count).map(|i| self.need(&format!("{list}.{i}.name"))).collect()
+    }
+
     fn get<T: FromStr>(&self, key: &str) -> Result<Option<T>, String> {
         let parse = |text: &&str| text.parse().map_err(|_| format!("setting {key}: bad value '{text}'"));
         self.0.get(key).map(parse).transpose()
@@ -59,9 +78,7 @@
 }
 
 pub fn parse(text: &str) -> Result<Settings, String> {
-    let lines = text.lines().filter(|line| !line.trim().is_empty());
-    let split = |line| str::split_once(line, '=').ok_or(format!("settings line without '=': {line}"));
-    let pairs = Pairs(lines.map(split).collect::<Result<_, _>>()?);
+    let pairs = Pairs::read(text)?;
     let classes: Vec<Class> =
         (0..pairs.positive("classes.count")? as usize).map(|i| class(&pairs, i)).collect::<Result<_, _>>()?;
     Ok(Settings {
@@ -130,3 +147,68 @@
         }
     })
 }
+
+/// What the sockets have to know beside the decisions.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Site {
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    /// For each class: the longest that a client waits, the share a whole answer needs, the least share.
+    pub deadlines: Vec<u64>,
+    pub needs: Vec<f64>,
+    pub floors: Vec<f64>,
+    pub shards: u32,
+    /// This mixer's number.
+    pub me: u32,
+    pub call_parts: usize,
+    pub streams: usize,
+    pub max_attempts: usize,
+    /// Queries and parts that may be open.
+    pub open_cap: usize,
+    pub connect_timeout: u64,
+    pub idle_time: u64,
+    pub come_back: u64,
+    pub peers: bool,
+    pub may_probe: bool,
+    /// Names of the values in a load report; none where nothing is reported.
+    pub report: Vec<String>,
+}
+
+pub fn site(text: &str) -> Result<Site, String> {
+    let pairs = Pairs::read(text)?;
+    let classes = pairs.names("classes")?;
+    let each = |key: &str| (0..classes.len()).map(|i| pairs.share(key, i)).collect::<Result<_, _>>();
+    for i in 0..classes.len() {
+        // The protocol has no words for a second step; half of one would break answers.
+        if pairs.item::<u32>("extra.second_step", i)? > 0 {
+            return Err("setting extra.second_step: a second step can't be served".into());
+        }
+    }
+    let deadlines = (0..classes.len()).map(|i| pairs.positive(&format!("classes.{i}.give_up_ns")));
+    Ok(Site {
+        deadlines: deadlines.collect::<Result<_, _>>()?,
+        needs: each("extra.class_need")?,
+        floors: each("extra.least_share")?,
+        tenants: pairs.names("orgs")?,
+        zones: pairs.list("localities"),
+        shards: number32(&pairs, "extra.ranges")?,
+        me: pairs.get("me")?.unwrap_or_default(),
+        call_parts: pairs.get("extra.bundle_max")?.unwrap_or(1).max(1),
+        streams: pairs.get("limits.streams_per_conn")?.unwrap_or(1).max(1),
+        max_attempts: pairs.get("limits.max_attempts")?.unwrap_or(usize::from(u8::MAX)),
+        open_cap: pairs.get("limits.open_cap")?.unwrap_or(OPEN_CAP),
+        connect_timeout: pairs.get("limits.connect_timeout_ns")?.unwrap_or(CONNECT_TIMEOUT),
+        idle_time: pairs.get("limits.conn_idle_ns")?.unwrap_or(IDLE_TIME),
+        come_back: pairs.time("limits.max_retry_after_ns")?,
+        peers: pairs.flag("limits.peers")?,
+        may_probe: pairs.flag("limits.may_probe")?,
+        report: pairs.list("reporting.fields"),
+        classes,
+    })
+}
+
+/// Where the settings are silent: bounds that keep memory and waits in hand.
+const OPEN_CAP: usize = 4096;
+const CONNECT_TIMEOUT: u64 = 250_000_000;
+const IDLE_TIME: u64 = 30_000_000_000;
--- /dev/null
+++ b/src/transport/clients.rs
@@ -0,0 +1,144 @@
+//! The listener and the clients' connections.
+
+use super::{Shared, MOST_COMMANDS};
+use crate::protocol::http::{Rejection, Request, Response, ServerCodec};
+use crate::protocol::query::{self, Reply};
+use crate::routing::{ClientId, Input};
+use futures_util::{SinkExt, StreamExt};
+use std::io;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout, Duration};
+use tokio_util::codec::Framed;
+
+pub enum Command {
+    Reply(Box<Reply>, bool),
+    Close,
+}
+
+/// A client that has begun a request sends the rest within this, or is told that it took too long.
+const SLOW_REQUEST: Duration = Duration::from_secs(10);
+/// A client reads its answer within this, or its connection is given up.
+const SLOW_READER: Duration = Duration::from_secs(5);
+/// After a failed accept (no descriptors left) before the next.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
+/// Accepts until it is aborted.
+pub async fn listen(shared: Shared, listener: TcpListener) {
+    for client in 1.. {
+        let stream = loop {
+            match listener.accept().await {
+                Ok((stream, _)) => break stream,
+                Err(e) => {
+                    tracing::warn!("accept: {e}");
+                    sleep(ACCEPT_AGAIN).await;
+                }
+            }
+        };
+        let (commands, receiver) = mpsc::channel(MOST_COMMANDS);
+        shared.clients.borrow_mut().insert(client, commands);
+        tokio::task::spawn_local(attend(shared.clone(), client, stream, receiver));
+    }
+}
+
+type Connection = Framed<TcpStream, ServerCodec>;
+type Incoming = Result<Request, Rejection>;
+
+async fn attend(shared: Shared, client: ClientId, stream: TcpStream, mut commands: mpsc::Receiver<Command>) {
+    // A reply must not wait for more to fill a packet.
+    let _ = stream.set_nodelay(true);
+    let mut connection = shared.pool.frame::<Response, _, _>(stream, ServerCodec::default());
+    let _ = shared.inputs.send(Input::ClientOpened { client }).await;
+    if let Err(e) = converse(&shared, client, &mut connection, &mut commands).await {
+        tracing::debug!(client, "client connection: {e}");
+    }
+    shared.clients.borrow_mut().remove(&client);
+    shared.pool.recover(connection);
+    let _ = shared.inputs.send(Input::ClientClosed { client }).await;
+}
+
+/// One request at a time until either side has had enough.
+async fn converse(
+    shared: &Shared, client: ClientId, connection: &mut Connection, commands: &mut mpsc::Receiver<Command>,
+) -> io::Result<()> {
+    let mut early: Option<Incoming> = None;
+    loop {
+        let incoming = match early.take() {
+            Some(incoming) => Some(incoming),
+            None => next_request(connection, commands).await?,
+        };
+        let Some(incoming) = incoming else { return Ok(()) };
+        let arrived = shared.clock.now();
+        let keep = incoming.as_ref().is_ok_and(|request| request.keep_alive);
+        let asked = incoming.and_then(|request| query::read(&request, &shared.names));
+        if shared.inputs.send(Input::Asked { client, arrived, asked }).await.is_err() {
+            return Ok(());
+        }
+        let (response, close) = loop {
+            tokio::select! {
+                biased;
+                command = commands.recv() => match command {
+                    Some(Command::Reply(reply, close)) => {
+                        let close = close || !keep;
+                        break (query::render(&reply, close), close);
+                    }
+                    // Crossed by this request, which is taken now; its reply will close.
+                    Some(Command::Close) => {}
+                    None => return Ok(()),
+                },
+                // Reading on shows at once when the client leaves; a request sent early waits its turn.
+                next = connection.next(), if early.is_none() => match next {
+                    Some(next) => early = Some(next?),
+                    None => return Ok(()),
+                },
+            }
+        };
+        respond(connection, response).await?;
+        if close {
+            return Ok(());
+        }
+    }
+}
+
+async fn respond(connection: &mut Connection, response: Response) -> io::Result<()> {
+    match timeout(SLOW_READER, connection.send(response)).await {
+        Ok(sent) => sent,
+        Err(_) => Err(io::ErrorKind::TimedOut.into()),
+    }
+}
+
+/// The next request; none when the client has closed or the connection is to end between requests.
+async fn next_request(
+    connection: &mut Connection, commands: &mut mpsc::Receiver<Command>,
+) -> io::Result<Option<Incoming>> {
+    let mut closing = false;
+    loop {
+        let begun = connection.codec().in_request() || !connection.read_buffer().is_empty();
+        if closing && !begun {
+            // A request that is here already is taken; one that is not will be sent again elsewhere.
+            let ready = timeout(Duration::ZERO, connection.next()).await;
+            let still = connection.codec().in_request() || !connection.read_buffer().is_empty();
+            match ready {
+                Ok(next) => return next.transpose(),
+                Err(_) if !still => return Ok(None),
+                Err(_) => {}
+            }
+        }
+        tokio::select! {
+            biased;
+            next = timeout(SLOW_REQUEST, connection.next()) => match next {
+                Ok(next) => return next.transpose(),
+                Err(_) if connection.codec().in_request() || !connection.read_buffer().is_empty() => {
+                    return Ok(Some(Err(Rejection { status: 408, why: "the request took too long" })));
+                }
+                Err(_) => {}
+            },
+            command = commands.recv() => match command {
+                Some(Command::Close) => closing = true,
+                // No request is waiting, so no reply is due.
+                Some(Command::Reply(..)) => {}
+                None => return Ok(None),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/leaf.rs
@@ -0,0 +1,79 @@
+//! Connections to leaf servers, one task each.
+
+use super::{Shared, MOST_COMMANDS};
+use crate::protocol::leaf::{LeafCodec, ToLeaf};
+use crate::routing::{Input, LinkId};
+use futures_util::{SinkExt, StreamExt};
+use std::io;
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+/// A connection as the driver holds it; letting it go closes the connection.
+pub struct Handle {
+    frames: mpsc::Sender<ToLeaf>,
+    task: AbortHandle,
+}
+
+impl Handle {
+    /// The reducer hands over one frame at a time, so there is always room; were there none, the connection
+    /// would have to end, since a frame must not be lost in silence.
+    pub fn write(&self, frame: ToLeaf) {
+        if self.frames.try_send(frame).is_err() && !self.is_over() {
+            tracing::error!("a connection to a leaf server has too many frames waiting");
+            self.task.abort();
+        }
+    }
+
+    pub fn is_over(&self) -> bool {
+        self.task.is_finished()
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+pub fn open(shared: Shared, link: LinkId, address: SocketAddr) -> Handle {
+    let (frames, receiver) = mpsc::channel(MOST_COMMANDS);
+    let task = tokio::task::spawn_local(async move {
+        if let Err(e) = speak(&shared, link, address, receiver).await {
+            tracing::debug!(link, %address, "leaf connection: {e}");
+        }
+        let _ = shared.inputs.send(Input::LinkClosed { link }).await;
+    });
+    Handle { frames, task: task.abort_handle() }
+}
+
+async fn speak(
+    shared: &Shared, link: LinkId, address: SocketAddr, mut frames: mpsc::Receiver<ToLeaf>,
+) -> io::Result<()> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let mut connection = shared.pool.frame::<ToLeaf, _, _>(stream, LeafCodec);
+    let _ = shared.inputs.send(Input::LinkOpened { link }).await;
+    let ended = loop {
+        tokio::select! {
+            biased;
+            frame = frames.recv() => {
+                let Some(frame) = frame else { break Ok(()) };
+                if let Err(e) = connection.send(frame).await {
+                    break Err(e);
+                }
+                let _ = shared.inputs.send(Input::LinkWrote { link }).await;
+            }
+            heard = connection.next() => match heard {
+                Some(Ok(frame)) => {
+                    let _ = shared.inputs.send(Input::LinkHeard { link, frame }).await;
+                }
+                Some(Err(e)) => break Err(e),
+                None => break Ok(()),
+            },
+        }
+    };
+    shared.pool.recover(connection);
+    ended
+}
