Advise a refused client when to come back, whatever limits.retry_after says

Seen: the site sets limits.retry_after=false, so give_up() advised nothing and a 503 carried no Retry-After. Lines at fault: choice.rs give_up(), which asked may_advise_retry; the field is gone, the longest advice decides (0 means none).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -957,7 +957,7 @@
         if class.effect == Effect::Unsafe && may_have_run {
             actions.push(Action::Fail { query: query.id });
         } else {
-            let advice = self.settings.may_advise_retry.then_some(self.settings.longest_retry_advice);
+            let advice = Some(self.settings.longest_retry_advice).filter(|longest| *longest > 0);
             actions.push(Action::Refuse { query: query.id, come_back: advice });
         }
         self.withdraw(&mut query, actions);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -78,7 +78,7 @@
     pub repeats_marked: bool,
     pub second_copies: bool,
     pub may_probe: bool,
-    pub may_advise_retry: bool,
+    /// The longest that a refused client is asked to stay away; 0 where no advice is to be given.
     pub longest_retry_advice: Nanos,
     /// A fresh replica has at least this share of its capacity, and all of it after `cold_time`.
     pub cold_from: Option<f64>,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings, `path=value` a line, as the module's [`Settings`] and as the [`Site`] that the sockets need.
-//! Keys that are not known are skipped; a key that is missing where it is needed, or out of range, is named in
-//! the error. The simulator's wire carries this text; a real mixer's JSON is flattened to it first.
+//! Keys that are not known are skipped; a key that is missing where it is needed, or out of range, is named
+//! in the error. The simulator's wire carries this text; a real mixer's JSON is flattened to it first.
 
 use crate::interface::{Budget, Class, Effect, Settings};
 use std::collections::BTreeMap;
@@ -95,7 +95,7 @@
         repeats_marked: pairs.flag("callers.marks_retry")?,
         second_copies: pairs.flag("limits.may_duplicate")?,
         may_probe: pairs.flag("limits.may_probe")?,
-        may_advise_retry: pairs.flag("limits.retry_after")?,
+        // Whatever `limits.retry_after` says: who is given up on is told at once, and when to come back.
         longest_retry_advice: pairs.time("limits.max_retry_after_ns")?,
         cold_from: pairs.number("guarantees.cold_from")?,
         cold_time: pairs.time("guarantees.cold_ns")?,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -22,7 +22,6 @@
         max_attempts: Some(4),
         may_cancel: true,
         second_copies: true,
-        may_advise_retry: true,
         longest_retry_advice: 1000 * MS,
         ..Settings::default()
     }
