--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -31,6 +31,7 @@
 #[derive(Debug)]
 pub struct Config {
     pub name: String,
+    pub listen: SocketAddr,
     pub site: Site,
     pub settings: Settings,
     pub seed: u64,
@@ -52,13 +53,13 @@
             shards: site.shards,
         };
         let addresses = Addresses {
-            listen: file.listen,
             discovery: file.discovery,
             peer_listen: file.peer_listen.filter(|_| site.peers),
             peers: file.peers,
             peers_all: file.peers_all,
         };
-        Ok(Config { name: file.name, site, settings, seed, known: file.known, addresses, names })
+        let File { name, listen, known, .. } = file;
+        Ok(Config { name, listen, site, settings, seed, known, addresses, names })
     }
 }
 
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -7,6 +7,7 @@
 use crate::routing::State;
 use crate::transport::{self, Clock};
 use std::process::ExitCode;
+use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
 use tracing::level_filters::LevelFilter;
@@ -43,11 +44,11 @@
             let _ = told.try_send(());
         }
     });
-    let Config { name, site, settings, seed, known, addresses, names } = config;
-    tracing::info!(name, listen = %addresses.listen, known = known.endpoints.len(), "starting");
+    let Config { name, listen, site, settings, seed, known, addresses, names } = config;
+    tracing::info!(name, %listen, known = known.endpoints.len(), "starting");
     let clock = Clock::start();
     let state = State::new(clock.now(), site, settings, seed, &known);
-    let listen = addresses.listen;
-    let served = transport::serve(state, clock, names, addresses, terminate).await;
-    served.map_err(|e| format!("cannot listen on {listen}: {e}"))
+    let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    let served = transport::serve(state, clock, names, listener, addresses, terminate).await;
+    served.map_err(|e| format!("cannot listen for other mixers: {e}"))
 }
--- a/src/routing/link.rs
+++ b/src/routing/link.rs
@@ -149,9 +149,9 @@
         }
     }
 
-    /// Gives an attempt up. What waits is dropped whole and never goes out; what the socket has is followed by
-    /// a frame that says so. True if it may have run. After `patience` without a sound since it was written,
-    /// the connection is held to swallow attempts.
+    /// Gives an attempt up. What waits is dropped whole and never goes out; what the socket has is followed
+    /// by a frame that says so. True if it may have run. After `patience` without a sound since it was
+    /// written, the connection is held to swallow attempts.
     pub fn drop_attempt(&mut self, attempt: AttemptId, now: Nanos, patience: Nanos) -> bool {
         let Some(wire) = self.wire_of(attempt) else { return false };
         let Some(out) = self.out.remove(&wire) else { return false };
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -32,10 +32,9 @@
 /// How long the last replies have to leave, should the end come before they did.
 const LAST_FLUSH: Duration = Duration::from_millis(50);
 
-/// Where the mixer is and whom it speaks to.
+/// Whom the mixer speaks to.
 #[derive(Clone, Debug)]
 pub struct Addresses {
-    pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
@@ -60,14 +59,14 @@
     exited: bool,
 }
 
-/// Serves until the reducer asks for the end. Must run inside a `LocalSet`.
+/// Serves on `listener` until the reducer asks for the end. Must run inside a `LocalSet`.
 pub async fn serve(
-    mut state: State, clock: Clock, names: Names, addresses: Addresses, mut terminate: mpsc::Receiver<()>,
+    mut state: State, clock: Clock, names: Names, listener: TcpListener, addresses: Addresses,
+    mut terminate: mpsc::Receiver<()>,
 ) -> io::Result<()> {
     let (inputs, mut arrived) = mpsc::channel(MOST_INPUTS);
     let shared =
         Shared { clock, pool: Pool::default(), inputs, clients: Rc::default(), names: Rc::new(names) };
-    let listener = TcpListener::bind(addresses.listen).await?;
     let udp = match addresses.peer_listen {
         Some(at) => Some((Rc::new(UdpSocket::bind(at).await?), peers::Book::new(&addresses))),
         None => None,
--- /dev/null
+++ b/tests/bed/mod.rs
@@ -0,0 +1,235 @@
+//! A reducer with hand-made inputs in place of sockets. It carries the effects out as sockets would, and
+//! checks at each step what must hold at every one.
+
+#![allow(dead_code)] // Each test file uses its own part of it.
+
+use bytes::Bytes;
+use cottonhill::protocol::discovery::Listing;
+use cottonhill::protocol::leaf::{End, FromLeaf, ToLeaf};
+use cottonhill::protocol::query::{Asked, AskedPart, Query, Reply};
+use cottonhill::routing::{ClientId, Effect, Input, LinkId, State};
+use cottonhill::settings;
+use std::collections::{BTreeMap, BTreeSet};
+
+pub const MS: u64 = 1_000_000;
+pub const START: u64 = 1_000_000 * MS;
+/// As a real site has them: class 0 takes partial answers, class 1 needs every part.
+pub const SETTINGS: &str = "classes.count=2\nclasses.0.name=report\nclasses.0.aim_ns=2000000000\n\
+classes.0.give_up_ns=5000000000\nclasses.0.semantics=read_like\nclasses.1.name=lookup\n\
+classes.1.aim_ns=2000000000\nclasses.1.give_up_ns=6000000000\nclasses.1.semantics=read_like\n\
+extra.places=1\nextra.reach=1\nextra.ranges=8\nextra.class_need=1.0,1.0\nextra.least_share=0.6,1.0\n\
+extra.partial_earns=0.9,0.9\nextra.second_step=0,0\nreplicas_of_me=1\ntick_ns=5000000\n\
+limits.cancelling=true\nlimits.may_duplicate=true\nlimits.max_attempts=4\nlimits.streams_per_conn=4\n\
+limits.connect_timeout_ns=250000000\nlimits.conn_idle_ns=30000000000\nlimits.open_cap=60\n\
+limits.max_retry_after_ns=500000000\nlocalities=north,south\n";
+
+pub struct Bed {
+    pub state: State,
+    pub now: u64,
+    pub replies: BTreeMap<ClientId, Vec<(u64, Reply)>>,
+    pub left: BTreeSet<ClientId>,
+    /// Connections by their number: the address, and whether it is up.
+    pub links: BTreeMap<LinkId, (String, bool)>,
+    /// All frames, and what is out at each connection.
+    pub frames: Vec<(LinkId, ToLeaf)>,
+    pub out: BTreeMap<LinkId, Vec<String>>,
+    pub closed: Vec<ClientId>,
+    pub listening: bool,
+    pub exited: bool,
+    told: BTreeMap<String, String>,
+    writing: BTreeSet<LinkId>,
+    clients: u64,
+    index: u64,
+}
+
+pub fn address(replica: u64) -> String {
+    format!("127.0.0.{replica}:7070")
+}
+
+fn listing(index: u64, snapshot: bool, lines: &[(u64, &str, u64)]) -> Listing {
+    let line = |(replica, status, since): &(u64, &str, u64)| {
+        serde_json::json!({"name": format!("s-{replica}"), "address": address(*replica), "zone": "north",
+            "type": "m", "group": 0, "status": status, "weight": 1.0, "since_ms": since / MS})
+    };
+    let lines: Vec<_> = lines.iter().map(line).collect();
+    serde_json::from_value(serde_json::json!({"index": index, "snapshot": snapshot, "endpoints": lines}))
+        .expect("a list")
+}
+
+impl Bed {
+    pub fn new(replicas: u64) -> Bed {
+        Bed::with(SETTINGS, replicas)
+    }
+
+    pub fn with(text: &str, replicas: u64) -> Bed {
+        let (site, decisions) = (settings::site(text).unwrap(), settings::parse(text).unwrap());
+        let lines: Vec<_> = (1..=replicas).map(|r| (r, "up", 0)).collect();
+        Bed {
+            state: State::new(START, site, decisions, 7, &listing(1, true, &lines)),
+            now: START,
+            replies: BTreeMap::new(),
+            left: BTreeSet::new(),
+            links: BTreeMap::new(),
+            frames: Vec::new(),
+            out: BTreeMap::new(),
+            closed: Vec::new(),
+            listening: true,
+            exited: false,
+            told: (1..=replicas).map(|r| (address(r), "up".to_string())).collect(),
+            writing: BTreeSet::new(),
+            clients: 0,
+            index: 1,
+        }
+    }
+
+    /// One input and the turn after it.
+    pub fn put(&mut self, input: Input) {
+        let mut effects = self.state.apply(self.now, input);
+        effects.extend(self.state.apply(self.now, Input::Turn));
+        effects.into_iter().for_each(|effect| self.perform(effect));
+    }
+
+    fn perform(&mut self, effect: Effect) {
+        match effect {
+            Effect::Reply { client, reply, close } => {
+                self.replies.entry(client).or_default().push((self.now, reply));
+                if close {
+                    self.put(Input::ClientClosed { client });
+                }
+            }
+            Effect::CloseClient { client } => {
+                self.closed.push(client);
+                self.put(Input::ClientClosed { client });
+            }
+            Effect::Connect { link, address } => {
+                assert_eq!(self.told[&address.to_string()], "up", "no new connection where nothing may go");
+                self.links.insert(link, (address.to_string(), false));
+            }
+            Effect::Write { link, frame } => {
+                let (address, up) = &self.links[&link];
+                assert!(*up, "nothing is written before the connection is up");
+                assert!(self.writing.insert(link), "one frame at a time");
+                let out = self.out.entry(link).or_default();
+                match &frame {
+                    ToLeaf::Call(parts) => {
+                        assert_eq!(self.told[address], "up", "nothing new goes to what drains or is gone");
+                        for part in parts {
+                            assert!(!out.contains(&part.id.to_string()), "{} is out there", part.id);
+                            out.push(part.id.to_string());
+                        }
+                        assert!(out.len() <= 4, "no more than streams_per_conn");
+                    }
+                    ToLeaf::GiveUp(id) => out.retain(|other| **other != **id),
+                    ToLeaf::Probe | ToLeaf::ProbeLoad => {}
+                }
+                self.frames.push((link, frame));
+                self.writing.remove(&link);
+                self.put(Input::LinkWrote { link });
+            }
+            Effect::CloseLink { link } => {
+                self.links.remove(&link);
+                self.out.remove(&link);
+            }
+            Effect::Datagram { .. } => {}
+            Effect::StopListening => self.listening = false,
+            Effect::Exit(_) => self.exited = true,
+        }
+    }
+
+    /// Time passes, with a turn whenever one is due.
+    pub fn pass(&mut self, ms: u64) {
+        let end = self.now + ms * MS;
+        while let Some(due) = self.state.next_due().filter(|due| *due <= end) {
+            self.now = self.now.max(due);
+            self.put(Input::Turn);
+        }
+        self.now = end;
+    }
+
+    pub fn connect(&mut self) -> ClientId {
+        self.clients += 1;
+        self.put(Input::ClientOpened { client: self.clients });
+        self.clients
+    }
+
+    pub fn ask(&mut self, class: u16, weights: &[f64]) -> ClientId {
+        let client = self.connect();
+        self.ask_on(client, class, weights, 5000);
+        client
+    }
+
+    pub fn ask_on(&mut self, client: ClientId, class: u16, weights: &[f64], timeout_ms: u64) {
+        let part =
+            |(shard, weight): (usize, &f64)| AskedPart { shard: shard as u32, weight: *weight, work: None };
+        let query = Query {
+            name: format!("q{client}"),
+            class,
+            tenant: 0,
+            timeout: timeout_ms * MS,
+            repeat: false,
+            parts: weights.iter().enumerate().map(part).collect(),
+            text: Bytes::from_static(b"c41e77d0"),
+        };
+        self.replies.entry(client).or_default();
+        self.put(Input::Asked { client, arrived: self.now, asked: Ok(Asked::Query(query)) });
+    }
+
+    pub fn open(&mut self, link: LinkId) {
+        if let Some(it) = self.links.get_mut(&link).filter(|it| !it.1) {
+            it.1 = true;
+            self.put(Input::LinkOpened { link });
+        }
+    }
+
+    pub fn open_all(&mut self) {
+        self.links.keys().copied().collect::<Vec<_>>().into_iter().for_each(|link| self.open(link));
+    }
+
+    /// The oldest part out at a connection ends.
+    pub fn answer(&mut self, link: LinkId, end: End) {
+        let out = self.out.entry(link).or_default();
+        if !out.is_empty() {
+            let id = out.remove(0);
+            self.answer_to(link, &id, end);
+        }
+    }
+
+    pub fn answer_to(&mut self, link: LinkId, id: &str, end: End) {
+        let value = Bytes::from(format!("doc {id}"));
+        let frame = FromLeaf::Answer { id: id.to_string(), end, report: "-".into(), value };
+        self.put(Input::LinkHeard { link, frame });
+    }
+
+    /// All that is out is answered.
+    pub fn answer_all(&mut self) {
+        while let Some(link) = self.out.iter().find(|(_, out)| !out.is_empty()).map(|(link, _)| *link) {
+            self.answer(link, End::Ok);
+        }
+    }
+
+    pub fn break_off(&mut self, link: LinkId) {
+        self.links.remove(&link);
+        self.out.remove(&link);
+        self.put(Input::LinkClosed { link });
+    }
+
+    pub fn list(&mut self, replica: u64, status: &str, since: u64) {
+        self.index += 1;
+        self.told.insert(address(replica), status.to_string());
+        self.put(Input::Listed(listing(self.index, false, &[(replica, status, since)])));
+    }
+
+    /// Some client leaves.
+    pub fn leave(&mut self, dice: u64) {
+        if self.clients > 0 {
+            let client = 1 + dice % self.clients;
+            if self.left.insert(client) {
+                self.put(Input::ClientClosed { client });
+            }
+        }
+    }
+
+    pub fn reply(&self, client: ClientId) -> Option<&Reply> {
+        self.replies.get(&client).and_then(|replies| replies.last()).map(|(_, reply)| reply)
+    }
+}
--- /dev/null
+++ b/tests/connection.rs
@@ -0,0 +1,176 @@
+//! A model of the states of one connection to a leaf server, against which random steps are checked; and the
+//! whole reducer under random steps, against the promises that the sockets must keep.
+
+mod bed;
+
+use bed::{Bed, MS};
+use cottonhill::protocol::leaf::{End, ToLeaf};
+use cottonhill::routing::link::{AttemptId, Job, Link};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::{BTreeMap, VecDeque};
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig { cases, rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..Default::default() }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Queue,
+    Open,
+    Take,
+    Wrote,
+    Answer(usize),
+    Drop(usize),
+    Probe,
+    Probed,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => Just(Step::Queue),
+        1 => Just(Step::Open),
+        4 => Just(Step::Take),
+        4 => Just(Step::Wrote),
+        2 => (0usize..8).prop_map(Step::Answer),
+        2 => (0usize..8).prop_map(Step::Drop),
+        1 => Just(Step::Probe),
+        1 => Just(Step::Probed),
+    ]
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    Waiting,
+    Writing,
+    Written,
+}
+
+/// The plain model: where each attempt is, and the frames that have yet to go out, in order.
+#[derive(Default)]
+struct Model {
+    open: bool,
+    stages: BTreeMap<AttemptId, Stage>,
+    frames: VecDeque<Job>,
+    writing: Option<Job>,
+    probes: VecDeque<u64>,
+}
+
+impl Model {
+    fn nth(&self, n: usize) -> Option<AttemptId> {
+        (!self.stages.is_empty()).then(|| *self.stages.keys().nth(n % self.stages.len()).unwrap())
+    }
+}
+
+fn wire(attempt: AttemptId) -> std::rc::Rc<str> {
+    format!("q.{}", attempt.0).into()
+}
+
+proptest! {
+    #![proptest_config(config(512))]
+
+    #[test]
+    fn a_connection_keeps_to_its_model(steps in prop::collection::vec(step(), 1..60)) {
+        let (mut link, mut model) = (Link::new(0), Model::default());
+        for (n, step) in steps.into_iter().enumerate() {
+            let now = n as u64 * MS;
+            match step {
+                Step::Queue => {
+                    let attempt = (n as u64, 0);
+                    link.queue(attempt, wire(attempt), false, 1);
+                    model.stages.insert(attempt, Stage::Waiting);
+                    model.frames.push_back(Job::Call(vec![(attempt, wire(attempt))]));
+                }
+                Step::Open => {
+                    link.opened(now);
+                    model.open = true;
+                }
+                Step::Take => {
+                    let due = model.open && model.writing.is_none();
+                    let expected = if due { model.frames.pop_front() } else { None };
+                    prop_assert_eq!(link.take_next(), expected.clone());
+                    if let Some(Job::Call(call)) = &expected {
+                        model.stages.insert(call[0].0, Stage::Writing);
+                    }
+                    model.writing = expected.or(model.writing);
+                }
+                Step::Wrote => {
+                    link.wrote(now);
+                    match model.writing.take() {
+                        Some(Job::Call(call)) => {
+                            model.stages.entry(call[0].0).and_modify(|stage| *stage = Stage::Written);
+                        }
+                        Some(Job::Probe(probe)) => model.probes.push_back(probe),
+                        _ => {}
+                    }
+                }
+                Step::Answer(k) => {
+                    let Some(attempt) = model.nth(k) else { continue };
+                    let written = model.stages[&attempt] == Stage::Written;
+                    prop_assert_eq!(link.answered(&wire(attempt)), written.then_some(attempt));
+                    prop_assert_eq!(link.answered("never.asked"), None);
+                    if written {
+                        model.stages.remove(&attempt);
+                    }
+                }
+                Step::Drop(k) => {
+                    let Some(attempt) = model.nth(k) else { continue };
+                    let went_out = model.stages.remove(&attempt) != Some(Stage::Waiting);
+                    prop_assert_eq!(link.drop_attempt(attempt, now, MS), went_out);
+                    prop_assert!(!link.drop_attempt(attempt, now, MS), "it is over");
+                    if went_out {
+                        model.frames.push_back(Job::GiveUp(wire(attempt)));
+                    } else {
+                        model.frames.retain(|job| *job != Job::Call(vec![(attempt, wire(attempt))]));
+                    }
+                }
+                Step::Probe => {
+                    link.queue_probe(n as u64);
+                    model.frames.push_back(Job::Probe(n as u64));
+                }
+                Step::Probed => prop_assert_eq!(link.probed(), model.probes.pop_front()),
+            }
+            let waiting = model.stages.iter().filter(|(_, stage)| **stage == Stage::Waiting);
+            prop_assert_eq!(link.unsent(), waiting.map(|(attempt, _)| *attempt).collect::<Vec<_>>());
+            let busy = !(model.stages.is_empty() && model.frames.is_empty() && model.probes.is_empty());
+            prop_assert_eq!(link.is_idle(), !busy && model.writing.is_none());
+        }
+        let (mut ended, _) = link.end();
+        ended.sort();
+        let left = model.stages.iter().map(|(attempt, stage)| (*attempt, *stage == Stage::Written));
+        prop_assert_eq!(ended, left.collect::<Vec<_>>());
+    }
+
+    #[test]
+    fn every_query_ends_once_and_every_attempt_ends_once(
+        steps in prop::collection::vec((0u8..11, any::<u64>(), 1u64..400), 1..80),
+    ) {
+        let (ends, standings) = ([End::Ok, End::Ok, End::Err, End::Busy], ["up", "draining", "removed"]);
+        let mut bed = Bed::new(4);
+        for (kind, dice, ms) in steps {
+            let links: Vec<u64> = bed.links.keys().copied().collect();
+            let link = links.get(dice as usize % links.len().max(1)).copied();
+            match (kind, link) {
+                (0..=2, _) => drop(bed.ask((dice % 3) as u16 % 2, &[0.5, 0.3, 0.2])),
+                (3..=4, Some(link)) => bed.open(link),
+                (5..=6, Some(link)) => bed.answer(link, ends[dice as usize % 4]),
+                (7, Some(link)) => bed.break_off(link),
+                (8, _) => bed.list(1 + dice % 4, standings[dice as usize / 4 % 3], bed.now),
+                (9, _) => bed.leave(dice),
+                _ => bed.pass(ms),
+            }
+        }
+        bed.pass(20_000);
+        for (client, replies) in &bed.replies {
+            let gone = bed.left.contains(client);
+            prop_assert!(replies.len() == 1 || gone && replies.is_empty(), "client {client}: {replies:?}");
+        }
+        let counters = bed.state.counters().clone();
+        let e = &counters.ended;
+        let known = e.ok + e.error + e.refused + e.unreachable + e.not_sent;
+        let ended = known + e.timed_out + e.broken + e.cancelled;
+        prop_assert_eq!(ended, counters.sent.attempts, "each attempt ends once");
+        prop_assert_eq!(&counters.faults, &Default::default());
+        prop_assert!(bed.frames.iter().all(|(_, f)| !matches!(f, ToLeaf::Call(parts) if parts.is_empty())));
+    }
+}
--- /dev/null
+++ b/tests/protocol.rs
@@ -0,0 +1,224 @@
+//! Codecs and messages as bytes: split anywhere, malformed, too large.
+
+use bytes::{Bytes, BytesMut};
+use cottonhill::program::Config;
+use cottonhill::protocol::http::{Rejection, Request, Response, ServerCodec, WatchCodec};
+use cottonhill::protocol::leaf::{CallPart, End, FromLeaf, LeafCodec, ToLeaf};
+use cottonhill::protocol::query::{self, Asked, Names, Reply};
+use cottonhill::protocol::{discovery, http};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::process::Command;
+use tokio_util::codec::{Decoder, Encoder};
+
+const QUERY: &str = "{\"shards\":[{\"shard\":3,\"weight\":0.5,\"cost\":9000},{\"shard\":2,\"weight\":0.5}],\
+\"q\":\"c41e77d0\"}";
+
+const CHUNKED: &str = "POST /checkout HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn names() -> Names {
+    let classes = vec!["checkout".to_string()];
+    Names { classes, tenants: vec!["acme".into()], deadlines: vec![5_000_000_000], shards: 4 }
+}
+
+fn post(path: &str, extra: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: x\r\nX-Request-ID: 9b1f\r\nX-Tenant-Id: acme\r\nX-Timeout: 480m\r\n\
+{extra}Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Feeds bytes in pieces of these sizes, over and over, and gathers what comes out.
+fn feed<D: Decoder<Error = std::io::Error>>(codec: &mut D, bytes: &[u8], sizes: &[usize]) -> Vec<D::Item> {
+    let (mut found, mut buffer, mut rest) = (Vec::new(), BytesMut::new(), bytes);
+    for size in sizes.iter().cycle() {
+        let (now, later) = rest.split_at((*size).clamp(1, rest.len().max(1)).min(rest.len()));
+        buffer.extend_from_slice(now);
+        while let Some(item) = codec.decode(&mut buffer).expect("no i/o error") {
+            found.push(item);
+        }
+        rest = later;
+        if rest.is_empty() {
+            break;
+        }
+    }
+    found
+}
+
+fn one(text: &str) -> Result<Request, Rejection> {
+    feed(&mut ServerCodec::default(), text.as_bytes(), &[1000]).remove(0)
+}
+
+fn asked(text: &str) -> Result<Asked, u16> {
+    one(text).and_then(|request| query::read(&request, &names())).map_err(|rejection| rejection.status)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64, rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..Default::default()
+    })]
+
+    #[test]
+    fn a_request_split_anywhere_is_the_same_request(sizes in prop::collection::vec(1usize..40, 1..8)) {
+        let chunked = format!(
+            "{CHUNKED}5;x=y\r\n{}\r\n{:x}\r\n{}\r\n0\r\n\r\n",
+            &QUERY[..5], QUERY.len() - 5, &QUERY[5..]
+        );
+        let text = post("/checkout", "", QUERY) + &chunked;
+        let found = feed(&mut ServerCodec::default(), text.as_bytes(), &sizes);
+        prop_assert_eq!(found.len(), 2);
+        for request in found {
+            prop_assert_eq!(&request.unwrap().body[..], QUERY.as_bytes());
+        }
+    }
+
+    #[test]
+    fn no_bytes_from_outside_break_a_codec(
+        start in 0usize..4,
+        noise in prop::collection::vec(any::<u8>(), 0..200),
+        sizes in prop::collection::vec(1usize..40, 1..4),
+    ) {
+        let starts = ["", "POST /checkout HTTP/1.1\r\n", CHUNKED,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}"];
+        let bytes = [starts[start].as_bytes(), &noise].concat();
+        feed(&mut ServerCodec::default(), &bytes, &sizes);
+        let mut buffer = BytesMut::from(&bytes[..]);
+        while let Ok(Some(_)) = WatchCodec::default().decode(&mut buffer) {}
+        let frame = [&(noise.len() as u32).to_be_bytes()[..], b"A", &noise].concat();
+        let mut buffer = BytesMut::from(&frame[..]);
+        while let Ok(Some(_)) = LeafCodec.decode(&mut buffer) {}
+        let _ = discovery::line(&noise);
+    }
+}
+
+#[test]
+fn a_query_is_read_as_sent() {
+    let Ok(Asked::Query(query)) = asked(&post("/checkout?x=1", "X-Retried: 1\r\n", QUERY)) else { panic!() };
+    assert_eq!((query.name.as_str(), query.class, query.tenant), ("9b1f", 0, 0));
+    assert_eq!((query.timeout, query.repeat), (480_000_000, true));
+    assert_eq!((query.parts[0].shard, query.parts[0].work), (3, Some(9_000_000)));
+    assert_eq!(&query.text[..], b"c41e77d0");
+}
+
+#[test]
+fn bad_requests_are_told_apart() {
+    let status = |text: &str| asked(text).unwrap_err();
+    assert_eq!(status("nonsense\r\n\r\n"), 400);
+    assert_eq!(status(&post("/checkout", "", "{}")), 400);
+    assert_eq!(status(&post("/checkout", "", &QUERY.replace(":3", ":9"))), 400);
+    assert_eq!(status(&post("/checkout", "", &QUERY.replace(":3", ":2"))), 400);
+    assert_eq!(status(&post("/checkout", "", QUERY).replace("480m", "480")), 400);
+    assert_eq!(status(&post("/checkout", "", QUERY).replace("9b1f", "9b 1f")), 400);
+    assert_eq!(status(&post("/checkout", "", QUERY).replace("acme", "nobody")), 400);
+    assert_eq!(status(&post("/checkout", "Content-Length: 3\r\n", QUERY)), 400);
+    assert_eq!(status(&post("/checkout", "Transfer-Encoding: chunked\r\n", QUERY)), 400);
+    assert_eq!(status(&post("/elsewhere", "", QUERY)), 404);
+    assert_eq!(status("GET /checkout HTTP/1.1\r\n\r\n"), 405);
+    assert_eq!(status("POST /-/ready HTTP/1.1\r\n\r\n"), 405);
+    assert_eq!(status("POST /checkout HTTP/1.1\r\nContent-Length: 65537\r\n\r\n"), 413);
+    let chunk = format!("10000\r\n{}\r\n1\r\n", "x".repeat(65536));
+    assert_eq!(status(&(CHUNKED.to_string() + &chunk + "x")), 413);
+    assert_eq!(status(&format!("GET / HTTP/1.1\r\nA: {}", "x".repeat(http::MOST_HEAD))), 431);
+}
+
+#[test]
+fn a_connection_is_kept_unless_a_side_says_otherwise() {
+    assert!(one(&post("/checkout", "", QUERY)).unwrap().keep_alive);
+    assert!(!one(&post("/checkout", "Connection: close\r\n", QUERY)).unwrap().keep_alive);
+    assert!(!one("GET / HTTP/1.0\r\n\r\n").unwrap().keep_alive);
+}
+
+fn written(response: Response) -> String {
+    let mut out = BytesMut::new();
+    ServerCodec::default().encode(response, &mut out).unwrap();
+    String::from_utf8(out.to_vec()).unwrap()
+}
+
+#[test]
+fn replies_say_when_to_come_back_and_whether_they_are_whole() {
+    let refused = written(query::render(&Reply::Refused { come_back: Some(500_000_001) }, false));
+    assert!(refused.starts_with("HTTP/1.1 503 ") && refused.contains("Retry-After: 0.501\r\n"), "{refused}");
+    let hits = vec![query::Hit { shard: 3, doc: "5be2\"".into() }];
+    let answer = written(query::render(&Reply::Answer { whole: false, hits }, true));
+    assert!(answer.contains("Connection: close\r\n"));
+    assert!(answer.ends_with("\r\n\r\n{\"complete\":false,\"hits\":[{\"shard\":3,\"doc\":\"5be2\\\"\"}]}"));
+    let allowed = written(query::render(&Reply::Rejected(Rejection { status: 405, why: "POST" }), false));
+    assert!(allowed.contains("Allow: POST\r\n"));
+}
+
+#[test]
+fn frames_are_as_the_protocol_states() {
+    let part =
+        |id: &str, shard| CallPart { id: id.into(), shard, wait_ms: 240, text: Bytes::from("c41e77d0") };
+    let mut out = BytesMut::new();
+    LeafCodec.encode(ToLeaf::Call(vec![part("9b1f.3", 3), part("9b1f.9", 9)]), &mut out).unwrap();
+    assert_eq!(&out[..], b"\0\0\0\x33Q9b1f.3 3 d=240 8\nc41e77d09b1f.9 9 d=240 8\nc41e77d0");
+    out.clear();
+    LeafCodec.encode(ToLeaf::GiveUp("9b1f.3".into()), &mut out).unwrap();
+    assert_eq!(&out[..], b"\0\0\0\x07X9b1f.3");
+    let answers = b"\0\0\0\x16A9b1f.3 ok 1840 -\n5be2\0\0\0\x03Pok\0\0\0\x11A9b1f.9 busy 0 -\n";
+    for sizes in [[1], [7], [100]] {
+        let found = feed(&mut LeafCodec, answers, &sizes);
+        let (id, report, value) = ("9b1f.3".to_string(), "-".to_string(), Bytes::from("5be2"));
+        assert_eq!(found[0], FromLeaf::Answer { id, end: End::Ok, report, value });
+        assert_eq!(found[1], FromLeaf::Probed { ok: true, report: "ok".into() });
+        assert!(matches!(&found[2], FromLeaf::Answer { end: End::Busy, .. }));
+    }
+    assert!(LeafCodec.decode(&mut BytesMut::from(&b"\xff\xff\xff\xffA"[..])).is_err());
+}
+
+#[test]
+fn a_watch_is_read_line_by_line_over_chunk_bounds() {
+    let text =
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n14\r\n{\"index\":43,\"snapsho\r\n\
+1a\r\nt\":false,\"endpoints\":[]}\n\n\r\n";
+    for sizes in [[1], [9], [1000]] {
+        let lines = feed(&mut WatchCodec::default(), text, &sizes);
+        let lines: Vec<_> = lines.iter().map(|line| discovery::line(line).unwrap()).collect();
+        assert_eq!(lines.len(), 3);
+        assert_eq!(lines[1].as_ref().map(|l| (l.index, l.snapshot)), Some((43, false)));
+    }
+    assert!(WatchCodec::default().decode(&mut BytesMut::from("HTTP/1.1 503 No\r\n\r\n")).is_err());
+}
+
+#[test]
+fn settings_as_json_mean_the_same_as_on_the_wire() {
+    let settings = serde_json::json!({
+        "classes": [{"name": "a b", "aim_ns": 2, "give_up_ns": 6, "semantics": "read_like"}],
+        "extra": {"places": 1, "reach": 1, "ranges": 2, "class_need": [1.0], "least_share": [0.6],
+            "partial_earns": [0.9], "second_step": [0]},
+        "replicas_of_me": 1, "tick_ns": 5, "localities": ["n", "s"],
+    });
+    let config = |settings: &serde_json::Value| {
+        let file = serde_json::json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+            "seed": "8c1f30d27a5be964", "settings": settings});
+        Config::read(&file.to_string())
+    };
+    let read = config(&settings).unwrap();
+    assert_eq!((read.site.zones.len(), read.site.classes[0].as_str()), (2, "a_b"));
+    assert_eq!((read.settings.classes[0].floor, read.seed), (0.6, 0x8c1f_30d2_7a5b_e964));
+    let mut broken = settings.clone();
+    broken["tick_ns"] = 0.into();
+    assert!(config(&broken).unwrap_err().contains("tick_ns"));
+    broken["extra"]["second_step"][0] = 3.into();
+    assert!(config(&broken).is_err());
+}
+
+#[test]
+fn a_bad_configuration_gets_one_line_and_a_failure() {
+    let run = |config: Option<&str>| {
+        let mut program = Command::new(env!("CARGO_BIN_EXE_cottonhill"));
+        program.env_remove("BALANCER_CONFIG");
+        config.map(|path| program.env("BALANCER_CONFIG", path));
+        let output = program.output().expect("the program starts");
+        assert!(!output.status.success());
+        String::from_utf8(output.stderr).unwrap()
+    };
+    for (config, word) in
+        [(None, "BALANCER_CONFIG"), (Some("/nowhere"), "/nowhere"), (Some("Cargo.toml"), "expected")]
+    {
+        let text = run(config);
+        assert!(text.contains(word) && text.lines().count() == 1, "{text}");
+    }
+}
--- /dev/null
+++ b/tests/reducer.rs
@@ -0,0 +1,222 @@
+//! The reducer with hand-made inputs: what the sockets owe their clients and leaf servers, one test a danger.
+
+mod bed;
+
+use bed::{Bed, MS, SETTINGS, START};
+use cottonhill::protocol::leaf::{End, ToLeaf};
+use cottonhill::protocol::query::{Asked, Reply};
+use cottonhill::routing::Input;
+
+fn calls(bed: &Bed) -> Vec<(u64, String)> {
+    let call = |(link, frame): &(u64, ToLeaf)| match frame {
+        ToLeaf::Call(parts) => parts.iter().map(|p| (*link, p.id.to_string())).collect(),
+        _ => Vec::new(),
+    };
+    bed.frames.iter().flat_map(call).collect()
+}
+
+fn refused(reply: Option<&Reply>) -> bool {
+    matches!(reply, Some(Reply::Refused { come_back: Some(after) }) if (1..=500 * MS).contains(after))
+}
+
+#[test]
+fn a_query_is_answered_whole_with_the_values_as_given() {
+    let mut bed = Bed::new(2);
+    let client = bed.ask(1, &[0.5, 0.5]);
+    bed.open_all();
+    bed.answer_all();
+    let Some(Reply::Answer { whole: true, hits }) = bed.reply(client) else {
+        panic!("{:?}", bed.reply(client))
+    };
+    assert_eq!(hits[1].doc, "doc q1.1");
+    assert_eq!(hits.len(), 2);
+}
+
+#[test]
+fn parts_of_one_turn_reuse_a_connection_and_later_ones_too() {
+    let mut bed = Bed::new(1);
+    bed.ask(1, &[0.5, 0.5]);
+    bed.open_all();
+    bed.answer_all();
+    bed.ask(1, &[1.0]);
+    assert_eq!((bed.links.len(), bed.state.counters().connections.opened), (1, 1));
+    assert_eq!(calls(&bed).len(), 3);
+}
+
+#[test]
+fn a_full_connection_gets_a_second_beside_it() {
+    let mut bed = Bed::new(1);
+    bed.ask(1, &[0.2; 5]);
+    assert_eq!(bed.links.len(), 2, "four streams on one connection");
+}
+
+#[test]
+fn a_connection_that_never_comes_up_is_given_up_in_time() {
+    let mut bed = Bed::new(1);
+    bed.ask(1, &[1.0]);
+    bed.pass(249);
+    assert_eq!(bed.state.counters().ended.unreachable, 0);
+    bed.pass(2);
+    assert!(bed.state.counters().ended.unreachable >= 1);
+    assert!(calls(&bed).is_empty());
+}
+
+#[test]
+fn what_waits_for_a_connection_is_dropped_whole_when_its_replica_drains() {
+    let mut bed = Bed::new(1);
+    bed.ask(1, &[1.0]);
+    let link = *bed.links.keys().next().unwrap();
+    bed.list(1, "draining", 0);
+    bed.open(link);
+    bed.pass(3000);
+    assert!(calls(&bed).is_empty(), "its first byte would break the rule");
+    assert_eq!(bed.state.counters().ended.not_sent, 1);
+}
+
+#[test]
+fn a_frame_cut_off_before_its_end_never_ran_and_after_it_may_have() {
+    let mut bed = Bed::new(1);
+    bed.ask(1, &[1.0]);
+    let link = *bed.links.keys().next().unwrap();
+    bed.break_off(link);
+    assert_eq!((bed.state.counters().ended.unreachable, bed.state.counters().ended.broken), (1, 0));
+    let mut bed = Bed::new(1);
+    bed.ask(1, &[1.0]);
+    bed.open_all();
+    let link = *bed.links.keys().next().unwrap();
+    bed.break_off(link);
+    assert_eq!((bed.state.counters().ended.unreachable, bed.state.counters().ended.broken), (0, 1));
+}
+
+#[test]
+fn a_connection_that_swallowed_an_attempt_gets_nothing_more() {
+    let mut bed = Bed::new(1);
+    let client = bed.ask(1, &[1.0]);
+    bed.open_all();
+    let old = *bed.links.keys().next().unwrap();
+    // The only replica answers nothing until the client gives up.
+    bed.pass(6000);
+    assert!(bed.reply(client).is_some());
+    assert!(!bed.links.contains_key(&old), "closed, since nothing more is out on it");
+    bed.ask(1, &[1.0]);
+    assert!(bed.links.keys().all(|link| *link > old), "a new one shows at once whether anyone is there");
+}
+
+#[test]
+fn a_late_answer_to_what_was_given_up_is_ignored() {
+    let mut bed = Bed::new(1);
+    let first = bed.ask(1, &[1.0]);
+    bed.open_all();
+    let link = *bed.links.keys().next().unwrap();
+    bed.left.insert(first);
+    bed.put(Input::ClientClosed { client: first });
+    assert!(bed.frames.iter().any(|(_, frame)| *frame == ToLeaf::GiveUp("q1.0".into())));
+    bed.answer_to(link, "q1.0", End::Ok);
+    assert_eq!(bed.state.counters().ended.ok, 0);
+    assert!(bed.replies[&first].is_empty(), "nobody is there to be told");
+}
+
+#[test]
+fn an_idle_connection_is_closed_before_its_other_end_does_so() {
+    let mut bed = Bed::new(1);
+    bed.ask(1, &[1.0]);
+    bed.open_all();
+    bed.answer_all();
+    bed.pass(26_000);
+    assert_eq!(bed.links.len(), 1);
+    bed.pass(3_000);
+    assert!(bed.links.is_empty());
+}
+
+#[test]
+fn over_the_cap_a_query_is_refused_at_once_with_advice() {
+    let mut bed = Bed::new(1);
+    let clients: Vec<u64> = (0..20).map(|_| bed.ask(1, &[0.2; 5])).collect();
+    let at_once = clients.iter().filter(|client| refused(bed.reply(**client))).count();
+    assert_eq!(bed.state.counters().taken.over_cap, 10, "ten queries of five parts fill the cap of 60");
+    assert!(at_once >= 10);
+}
+
+#[test]
+fn what_is_given_up_is_refused_at_once_with_advice() {
+    let mut bed = Bed::new(1);
+    bed.list(1, "removed", 0);
+    let client = bed.ask(1, &[1.0]);
+    assert!(refused(bed.reply(client)), "{:?}", bed.reply(client));
+    assert_eq!(bed.replies[&client][0].0, START);
+}
+
+#[test]
+fn a_client_without_time_left_is_refused_and_nothing_is_sent() {
+    let mut bed = Bed::new(1);
+    let client = bed.connect();
+    bed.ask_on(client, 1, &[1.0], 5);
+    assert!(refused(bed.reply(client)));
+    assert!(bed.links.is_empty());
+}
+
+#[test]
+fn every_query_is_over_before_its_client_gives_up() {
+    let mut bed = Bed::new(2);
+    let client = bed.ask(0, &[0.5, 0.5]);
+    bed.pass(10_000);
+    assert!(bed.replies[&client][0].0 < START + 5000 * MS);
+    assert_eq!(bed.state.counters().faults.last_moment, 0);
+}
+
+#[test]
+fn not_ready_without_a_list_nor_once_told_to_end() {
+    let ready = |bed: &mut Bed| {
+        let client = bed.connect();
+        bed.put(Input::Asked { client, arrived: bed.now, asked: Ok(Asked::Ready) });
+        bed.reply(client) == Some(&Reply::Ready(true))
+    };
+    let mut bed = Bed::new(0);
+    assert!(!ready(&mut bed));
+    bed.list(1, "up", 0);
+    assert!(ready(&mut bed));
+    bed.put(Input::Terminate);
+    assert!(!ready(&mut bed));
+}
+
+#[test]
+fn told_to_end_it_serves_on_then_closes_between_requests_and_finishes_what_it_took() {
+    let mut bed = Bed::new(1);
+    let idle = bed.ask(1, &[1.0]);
+    bed.open_all();
+    bed.answer_all();
+    bed.put(Input::Terminate);
+    bed.pass(700);
+    assert!(bed.listening && bed.closed.is_empty(), "clients may still come for 0.7 s");
+    let late = bed.ask(1, &[1.0]);
+    bed.pass(100);
+    assert!(!bed.listening);
+    assert_eq!(bed.closed, [idle]);
+    assert!(!bed.exited, "a query is still open");
+    bed.answer_all();
+    assert!(matches!(bed.reply(late), Some(Reply::Answer { whole: true, .. })));
+    assert!(bed.exited);
+}
+
+#[test]
+fn told_to_end_it_leaves_nothing_for_the_kill() {
+    let mut bed = Bed::new(1);
+    bed.put(Input::Terminate);
+    bed.pass(690);
+    let client = bed.connect();
+    bed.ask_on(client, 1, &[1.0], 6000);
+    bed.pass(5400);
+    assert_eq!(bed.replies[&client].len(), 1, "SIGKILL may come 6.7 s after SIGTERM");
+    assert!(bed.exited);
+}
+
+#[test]
+fn a_remembered_list_may_be_old_and_a_whole_one_replaces_it() {
+    let mut bed = Bed::with(SETTINGS, 2);
+    let whole = serde_json::json!({"index": 9, "snapshot": true, "endpoints": [{"name": "s-2",
+        "address": bed::address(2), "zone": "north", "group": 0, "status": "up", "since_ms": 0}]});
+    bed.put(Input::Listed(serde_json::from_value(whole).unwrap()));
+    bed.ask(1, &[0.5, 0.5]);
+    assert!(bed.links.values().all(|(address, _)| *address == bed::address(2)), "{:?}", bed.links);
+    assert_eq!(bed.state.list_index(), 9);
+}
--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,146 @@
+//! The whole mixer on real sockets of the loopback, with a leaf server and discovery played by the test.
+
+use cottonhill::protocol::query::Names;
+use cottonhill::routing::State;
+use cottonhill::settings;
+use cottonhill::transport::{self, Addresses, Clock};
+use std::future::Future;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+mod bed;
+
+async fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// Discovery: answers each watch with the list and leaves it open.
+async fn discovery(listener: TcpListener, leaf: SocketAddr) {
+    let mut open = Vec::new();
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let line = format!(
+            "{{\"index\":3,\"snapshot\":true,\"endpoints\":[{{\"name\":\"s-1\",\"address\":\"{leaf}\",\
+\"group\":0,\"status\":\"up\"}}]}}\n"
+        );
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        stream.write_all(format!("{head}{:x}\r\n{line}\r\n", line.len()).as_bytes()).await.unwrap();
+        open.push(stream);
+    }
+}
+
+/// A leaf server: answers each part with its own id as the value.
+async fn leaf(listener: TcpListener) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    loop {
+        let length = stream.read_u32().await.unwrap();
+        let mut frame = vec![0; length as usize];
+        stream.read_exact(&mut frame).await.unwrap();
+        let text = String::from_utf8(frame).unwrap();
+        let id = text[1..].split(' ').next().unwrap().to_string();
+        let answer = format!("A{id} ok 1 -\n{id}");
+        stream.write_u32(answer.len() as u32).await.unwrap();
+        stream.write_all(answer.as_bytes()).await.unwrap();
+    }
+}
+
+/// Runs `client` against a mixer at its address.
+fn against<F: Future<Output = ()>>(client: impl FnOnce(SocketAddr) -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let (discovery_at, leaf_at, mixer_at) = (listener().await, listener().await, listener().await);
+        tokio::task::spawn_local(discovery(discovery_at.0, leaf_at.1));
+        tokio::task::spawn_local(leaf(leaf_at.0));
+        let (site, decisions) =
+            (settings::site(bed::SETTINGS).unwrap(), settings::parse(bed::SETTINGS).unwrap());
+        let names = Names {
+            classes: site.classes.clone(),
+            deadlines: site.deadlines.clone(),
+            shards: site.shards,
+            ..Names::default()
+        };
+        let clock = Clock::start();
+        let state = State::new(clock.now(), site, decisions, 7, &Default::default());
+        let (peers, discovery) = (Vec::new(), discovery_at.1);
+        let addresses = Addresses { discovery, peer_listen: None, peers, peers_all: None };
+        let (_told, terminate) = mpsc::channel(1);
+        let mixer = transport::serve(state, clock, names, mixer_at.0, addresses, terminate);
+        tokio::select! {
+            ended = mixer => panic!("the mixer ended: {ended:?}"),
+            () = client(mixer_at.1) => {}
+        }
+    });
+}
+
+/// Reads one answer: its head and its body.
+async fn answer(stream: &mut TcpStream) -> (String, String) {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.expect("an answer"));
+    }
+    let head = String::from_utf8(head).unwrap();
+    let length = head.split("Content-Length: ").nth(1).unwrap().split('\r').next().unwrap();
+    let mut body = vec![0; length.parse().unwrap()];
+    stream.read_exact(&mut body).await.unwrap();
+    (head, String::from_utf8(body).unwrap())
+}
+
+fn query(name: &str, extra: &str) -> String {
+    let body = "{\"shards\":[{\"shard\":3,\"weight\":1.0}],\"q\":\"c41e\"}";
+    let length = body.len();
+    format!("POST /lookup HTTP/1.1\r\nX-Request-ID: {name}\r\n{extra}Content-Length: {length}\r\n\r\n{body}")
+}
+
+/// Waits until the mixer holds a list.
+async fn ready(at: SocketAddr) {
+    loop {
+        let mut stream = TcpStream::connect(at).await.unwrap();
+        stream.write_all(b"GET /-/ready HTTP/1.1\r\n\r\n").await.unwrap();
+        if answer(&mut stream).await.0.starts_with("HTTP/1.1 200") {
+            return;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+#[test]
+fn queries_are_served_over_one_kept_connection_and_split_at_any_byte() {
+    against(|at| async move {
+        ready(at).await;
+        let mut stream = TcpStream::connect(at).await.unwrap();
+        stream.set_nodelay(true).unwrap();
+        for byte in query("a1", "").bytes() {
+            stream.write_all(&[byte]).await.unwrap();
+            tokio::task::yield_now().await;
+        }
+        let whole = "{\"complete\":true,\"hits\":[{\"shard\":3,\"doc\":\"NAME.3\"}]}";
+        assert_eq!(answer(&mut stream).await.1, whole.replace("NAME", "a1"));
+        // The next two arrive together: each still gets its own answer, in order.
+        let both = query("a2", "") + &query("a3", "Connection: close\r\n");
+        stream.write_all(both.as_bytes()).await.unwrap();
+        assert_eq!(answer(&mut stream).await.1, whole.replace("NAME", "a2"));
+        assert_eq!(answer(&mut stream).await.1, whole.replace("NAME", "a3"));
+        assert_eq!(stream.read(&mut [0]).await.unwrap(), 0, "closed, as asked");
+    });
+}
+
+#[test]
+fn a_bad_request_is_named_and_the_next_client_served() {
+    against(|at| async move {
+        ready(at).await;
+        let mut stream = TcpStream::connect(at).await.unwrap();
+        stream.write_all(b"\0\0\0 what is this\r\n\r\n").await.unwrap();
+        assert!(answer(&mut stream).await.0.starts_with("HTTP/1.1 400"));
+        assert_eq!(stream.read(&mut [0]).await.unwrap(), 0);
+        let mut stream = TcpStream::connect(at).await.unwrap();
+        stream.write_all(query("b1", "").as_bytes()).await.unwrap();
+        assert!(answer(&mut stream).await.0.starts_with("HTTP/1.1 200"));
+        stream.write_all(b"GET /-/stats HTTP/1.1\r\n\r\n").await.unwrap();
+        let stats: serde_json::Value = serde_json::from_str(&answer(&mut stream).await.1).unwrap();
+        assert_eq!((&stats["taken"]["queries"], &stats["taken"]["rejected"]), (&1.into(), &1.into()));
+    });
+}
