Count under open_cap only what is open: parts that are in leave room

So the cap counts open parts, and refuses only once it is reached. Line at fault: state.rs take_query() counted all parts. Queries turned away, taken and ended are logged now.

--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -45,7 +45,7 @@
         }
     });
     let Config { name, listen, site, settings, seed, known, addresses, names } = config;
-    tracing::info!(name, %listen, known = known.endpoints.len(), "starting");
+    tracing::info!(name, %listen, known = known.endpoints.len(), open_cap = site.open_cap, "starting");
     let clock = Clock::start();
     let state = State::new(clock.now(), site, settings, seed, &known);
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -233,6 +233,7 @@
             }
             Err(rejection) => {
                 self.counters.taken.rejected += 1;
+                tracing::info!(client, status = rejection.status, why = rejection.why, "request rejected");
                 self.reply(now, client, Reply::Rejected(rejection));
             }
         }
@@ -242,8 +243,11 @@
         if !self.clients.contains_key(&client) {
             return;
         }
-        if self.queries.len() + self.parts.len() >= self.site.open_cap {
+        // A part that is in is not open any more: counting it would refuse queries that there is room for.
+        let open_parts = self.parts.values().filter(|part| part.value.is_none()).count();
+        if self.queries.len() + open_parts >= self.site.open_cap {
             self.counters.taken.over_cap += 1;
+            tracing::info!(queries = self.queries.len(), open_parts, "over the cap: query refused");
             let come_back = Some(self.site.come_back);
             self.reply(now, client, Reply::Refused { come_back });
             return;
@@ -257,6 +261,7 @@
         }
         if patience == 0 {
             self.counters.taken.too_late += 1;
+            tracing::info!(timeout_ms = asked.timeout / MS, "no time left: query refused");
             return self.reply(now, client, Reply::Refused { come_back: Some(self.site.come_back) });
         }
         let id = self.id();
@@ -284,7 +289,8 @@
         let deadline = now + patience;
         self.alarms.insert((deadline, Alarm::LastMoment(id)));
         self.queries.insert(id, Query { client, class: usize::from(class), deadline, parts });
-        tracing::debug!(id, name = asked.name, class, patience_ms = patience / MS, "query taken");
+        let patience_ms = patience / MS;
+        tracing::debug!(id, name = asked.name, class, patience_ms, open_parts, "query taken");
     }
 
     fn client_closed(&mut self, client: ClientId) {
@@ -674,6 +680,21 @@
     ) {
         let Some(ended) = self.end_query(id) else { return };
         let reply = word(self, &ended);
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let (query, parts) = &ended;
+            let attempts: Vec<String> = parts
+                .iter()
+                .map(|p| format!("{}:{}{}", p.shard, p.attempts, if p.value.is_some() { "+" } else { "-" }))
+                .collect();
+            let (left_ms, attempts) = (query.deadline.saturating_sub(now) / MS, attempts.join(" "));
+            let word = match &reply {
+                Reply::Answer { whole: true, .. } => "whole",
+                Reply::Answer { .. } => "partial",
+                Reply::Refused { .. } => "refused",
+                _ => "failed",
+            };
+            tracing::debug!(id, class = query.class, left_ms, attempts, "query ended: {word}");
+        }
         self.reply(now, ended.0.client, reply);
     }
 
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -137,6 +137,19 @@
     assert!(at_once >= 10);
 }
 
+#[test]
+fn parts_that_are_in_leave_room_under_the_cap() {
+    let mut bed = Bed::new(3);
+    (0..10).for_each(|_| drop(bed.ask(1, &[0.2; 5])));
+    bed.open_all();
+    let link = *bed.out.keys().next().unwrap();
+    bed.answer(link, End::Ok);
+    let client = bed.ask(1, &[0.2; 5]);
+    assert_eq!(bed.reply(client), None, "59 are open, 60 may be");
+    let client = bed.ask(1, &[0.2; 5]);
+    assert!(refused(bed.reply(client)));
+}
+
 #[test]
 fn what_is_given_up_is_refused_at_once_with_advice() {
     let mut bed = Bed::new(1);
