Do not let a stuck socket, a late client or a rejected body hold anything up

(2) state.rs client_opened(): a client accepted as the listener closed was never closed and held the exit until the last alarm. (3) clients.rs: closing on unread bytes of a rejected body resets the connection and can overtake the 413; what still comes is read and dropped for 1 s. One test each. The bounds on connections follow limits.sockets now. SIGINT ends like SIGTERM.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint
+.PHONY: build test lint run
 
 build:
 	cargo build --release --locked
@@ -9,3 +9,7 @@
 lint:
 	cargo fmt --all --check
 	cargo clippy --locked --all-targets -- -D warnings
+
+# One mixer with the configuration that BALANCER_CONFIG names.
+run: build
+	exec target/release/cottonhill
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -11,6 +11,14 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+/// Descriptors that may be held where the configuration does not say.
+const SOCKETS: usize = 1024;
+
 #[derive(Deserialize)]
 struct File {
     name: String,
@@ -18,6 +26,7 @@
     discovery: SocketAddr,
     #[serde(default)]
     seed: String,
+    limits: Option<Limits>,
     peer_listen: Option<SocketAddr>,
     #[serde(default)]
     peers: Vec<SocketAddr>,
@@ -35,6 +44,8 @@
     pub site: Site,
     pub settings: Settings,
     pub seed: u64,
+    /// File descriptors that may be held.
+    pub descriptors: usize,
     pub known: Listing,
     pub addresses: Addresses,
     pub names: Names,
@@ -58,8 +69,9 @@
             peers: file.peers,
             peers_all: file.peers_all,
         };
+        let descriptors = file.limits.map_or(SOCKETS, |limits| limits.sockets.min(SOCKETS));
         let File { name, listen, known, .. } = file;
-        Ok(Config { name, listen, site, settings, seed, known, addresses, names })
+        Ok(Config { name, listen, site, settings, seed, descriptors, known, addresses, names })
     }
 }
 
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -37,17 +37,21 @@
 
 async fn serve(config: Config) -> Result<(), String> {
     let (told, terminate) = mpsc::channel(1);
-    let mut signals = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
-    tokio::task::spawn_local(async move {
-        while signals.recv().await.is_some() {
-            tracing::info!("told to end");
-            let _ = told.try_send(());
-        }
-    });
-    let Config { name, listen, site, settings, seed, known, addresses, names } = config;
+    // A planned end, by the platform or by whoever has it in a terminal.
+    for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+        let mut signals = signal(kind).map_err(|e| format!("no signals: {e}"))?;
+        let told = told.clone();
+        tokio::task::spawn_local(async move {
+            while signals.recv().await.is_some() {
+                tracing::info!("told to end");
+                let _ = told.try_send(());
+            }
+        });
+    }
+    let Config { name, listen, site, settings, seed, descriptors, known, addresses, names } = config;
     tracing::info!(name, %listen, known = known.endpoints.len(), open_cap = site.open_cap, "starting");
     let clock = Clock::start();
-    let state = State::new(clock.now(), site, settings, seed, &known);
+    let state = State::new(clock.now(), site, settings, seed, &known, descriptors);
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let served = transport::serve(state, clock, names, listener, addresses, terminate).await;
     served.map_err(|e| format!("cannot listen for other mixers: {e}"))
--- a/src/protocol/http.rs
+++ b/src/protocol/http.rs
@@ -162,6 +162,11 @@
         self.head.is_some()
     }
 
+    /// A request was rejected; what still comes is thrown away.
+    pub fn is_dead(&self) -> bool {
+        self.dead
+    }
+
     fn read_head(src: &mut BytesMut) -> Result<Option<(Request, Body)>, Rejection> {
         let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
         let mut parsed = httparse::Request::new(&mut headers);
--- a/src/routing/link.rs
+++ b/src/routing/link.rs
@@ -22,11 +22,12 @@
     Open,
 }
 
-/// An attempt on the connection: since when it is written, if it is.
+/// An attempt on the connection: since when the socket has its frame, and whether it took the last byte.
 #[derive(Clone, Debug)]
 struct Out {
     attempt: AttemptId,
-    written: Option<Nanos>,
+    given: Option<Nanos>,
+    written: bool,
 }
 
 #[derive(Debug)]
@@ -82,9 +83,15 @@
         self.silent
     }
 
+    /// Silent, and nothing is out that might still be answered. What waits are words that give attempts up,
+    /// which the end of the connection says as well; a frame that the socket can't get rid of waits for ever.
+    pub fn is_spent(&self) -> bool {
+        self.silent && self.out.is_empty()
+    }
+
     /// Queues an attempt; it joins the last call that waits, if that has room and holds only this turn's.
     pub fn queue(&mut self, attempt: AttemptId, wire: Rc<str>, join: bool, call_parts: usize) {
-        self.out.insert(wire.clone(), Out { attempt, written: None });
+        self.out.insert(wire.clone(), Out { attempt, given: None, written: false });
         match self.waiting.back_mut() {
             Some(Job::Call(call)) if join && call.len() < call_parts => call.push((attempt, wire)),
             _ => self.waiting.push_back(Job::Call(vec![(attempt, wire)])),
@@ -101,26 +108,30 @@
     }
 
     /// The next frame for the socket, one at a time: what waits here can still be dropped whole.
-    pub fn take_next(&mut self) -> Option<Job> {
+    pub fn take_next(&mut self, now: Nanos) -> Option<Job> {
         if self.phase != Phase::Open || self.writing.is_some() {
             return None;
         }
         self.writing = self.waiting.pop_front();
+        self.mark(|out| out.given = Some(now));
         self.writing.clone()
     }
 
-    /// The socket has taken the last byte of the frame: from here on its parts may run.
-    pub fn wrote(&mut self, now: Nanos) {
-        match self.writing.take() {
-            Some(Job::Call(call)) => {
-                for (attempt, wire) in call {
-                    if let Some(out) = self.out.get_mut(&wire).filter(|out| out.attempt == attempt) {
-                        out.written = Some(now);
-                    }
-                }
+    /// Marks the attempts of the frame that the socket has.
+    fn mark(&mut self, mark: impl Fn(&mut Out)) {
+        let Some(Job::Call(call)) = &self.writing else { return };
+        for (attempt, wire) in call {
+            if let Some(out) = self.out.get_mut(wire).filter(|out| out.attempt == *attempt) {
+                mark(out);
             }
-            Some(Job::Probe(probe)) => self.probes.push_back(Some(probe)),
-            Some(Job::GiveUp(_)) | None => {}
+        }
+    }
+
+    /// The socket has taken the last byte of the frame: from here on its parts may run.
+    pub fn wrote(&mut self) {
+        self.mark(|out| out.written = true);
+        if let Some(Job::Probe(probe)) = self.writing.take() {
+            self.probes.push_back(Some(probe));
         }
     }
 
@@ -132,7 +143,7 @@
     /// The attempt that an answer is for; none where it was given up before. What has not been written yet
     /// can't have been answered: that is an earlier attempt's answer under the same id.
     pub fn answered(&mut self, wire: &str) -> Option<AttemptId> {
-        self.out.get(wire).filter(|out| out.written.is_some())?;
+        self.out.get(wire).filter(|out| out.written)?;
         self.out.remove(wire).map(|out| out.attempt)
     }
 
@@ -150,8 +161,8 @@
     }
 
     /// Gives an attempt up. What waits is dropped whole and never goes out; what the socket has is followed
-    /// by a frame that says so. True if it may have run. After `patience` without a sound since it was
-    /// written, the connection is held to swallow attempts.
+    /// by a frame that says so. True if it may have run. After `patience` without a sound since the socket
+    /// has it, the connection is held to swallow attempts.
     pub fn drop_attempt(&mut self, attempt: AttemptId, now: Nanos, patience: Nanos) -> bool {
         let Some(wire) = self.wire_of(attempt) else { return false };
         let Some(out) = self.out.remove(&wire) else { return false };
@@ -168,8 +179,8 @@
             return false;
         }
         self.waiting.push_back(Job::GiveUp(wire));
-        if let Some(written) = out.written {
-            self.silent |= self.heard <= written && now.saturating_sub(written) >= patience;
+        if let Some(given) = out.given {
+            self.silent |= self.heard <= given && now.saturating_sub(given) >= patience;
         }
         true
     }
@@ -189,7 +200,7 @@
 
     /// The connection is over: all attempts on it, with whether they may have run, and all probes.
     pub fn end(self) -> (Vec<(AttemptId, bool)>, Vec<u64>) {
-        let attempts = self.out.values().map(|out| (out.attempt, out.written.is_some())).collect();
+        let attempts = self.out.values().map(|out| (out.attempt, out.written)).collect();
         let queued = self.waiting.iter().chain(&self.writing).filter_map(|job| match job {
             Job::Probe(probe) => Some(*probe),
             _ => None,
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -20,10 +20,9 @@
 const MARGIN: Nanos = 8 * MS;
 /// After SIGTERM new connections still arrive and clients use theirs for 0.7 s: so long all goes on.
 const GRACE: Nanos = 750 * MS;
-/// Connections to leaf servers that may be open or coming up: a share of the descriptors.
-const MOST_LINKS: usize = 400;
-/// Client connections above which idle ones make room for new ones.
-const MOST_CLIENTS: usize = 400;
+/// Of the descriptors, the share in tenths that connections to leaf servers may take, and the share above
+/// which idle clients make room for new ones.
+const CONNECTION_TENTHS: usize = 4;
 /// The most that one message between mixers may hold.
 const MOST_DATAGRAM: usize = 256;
 /// Share of the idle time after which we close a connection, in tenths: the other end does so at the latest
@@ -106,6 +105,8 @@
     /// Links that have something to write, and those whose last call still takes parts of this turn.
     pending: BTreeSet<LinkId>,
     joining: BTreeSet<LinkId>,
+    /// Of each sort.
+    most_connections: usize,
     listed: bool,
     terminated: Option<Nanos>,
     closing: bool,
@@ -114,9 +115,12 @@
 }
 
 impl State {
-    /// Starts with the list as it was last held, which may be old.
-    pub fn new(now: Nanos, site: Site, settings: Settings, seed: u64, known: &Listing) -> State {
+    /// Starts with the list as it was last held, which may be old, and as many descriptors as it may hold.
+    pub fn new(
+        now: Nanos, site: Site, settings: Settings, seed: u64, known: &Listing, descriptors: usize,
+    ) -> State {
         let mut state = State {
+            most_connections: descriptors * CONNECTION_TENTHS / 10,
             replicas: Replicas::new(site.zones.clone()),
             site,
             module: Coordinator::new(settings, seed),
@@ -177,7 +181,7 @@
             }
             Input::LinkWrote { link } => {
                 if let Some((_, it)) = self.links.get_mut(&link) {
-                    it.wrote(now);
+                    it.wrote();
                     self.pending.insert(link);
                 }
             }
@@ -212,7 +216,10 @@
     fn client_opened(&mut self, now: Nanos, client: ClientId) {
         self.counters.connections.clients += 1;
         self.clients.insert(client, Client { query: None, since: now });
-        if self.clients.len() > MOST_CLIENTS {
+        if self.closing {
+            // Accepted as the listener went: without a request on it, it would hold up the end.
+            self.effects.push(Effect::CloseClient { client });
+        } else if self.clients.len() > self.most_connections {
             let idle = self.clients.iter().filter(|(id, c)| c.query.is_none() && **id != client);
             if let Some(oldest) = idle.min_by_key(|(_, c)| c.since).map(|(id, _)| *id) {
                 self.effects.push(Effect::CloseClient { client: oldest });
@@ -395,7 +402,7 @@
     }
 
     fn open_link(&mut self, now: Nanos, id: ReplicaId) -> Option<LinkId> {
-        if self.links.len() >= MOST_LINKS {
+        if self.links.len() >= self.most_connections {
             return None;
         }
         let link = self.id();
@@ -501,13 +508,15 @@
         while let Some(link) = self.pending.pop_first() {
             let Some((id, it)) = self.links.get_mut(&link) else { continue };
             let id = *id;
-            if let Some(job) = it.take_next() {
+            if it.is_spent() {
+                self.close_link(now, link);
+            } else if let Some(job) = it.take_next(now) {
                 match self.frame(now, job) {
                     Some(frame) => self.effects.push(Effect::Write { link, frame }),
                     // Nothing was left of it: as if it were written, and on to the next.
                     None => {
                         if let Some((_, it)) = self.links.get_mut(&link) {
-                            it.wrote(now);
+                            it.wrote();
                         }
                         self.pending.insert(link);
                     }
@@ -515,7 +524,7 @@
             } else if it.is_idle() {
                 it.idle_since = now;
                 let standing = self.replicas.get(id).map(|r| r.standing);
-                if it.is_silent() || standing != Some(Standing::Ready) {
+                if standing != Some(Standing::Ready) {
                     self.close_link(now, link);
                 } else {
                     let limit = self.site.idle_time / 10 * IDLE_TENTHS;
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -6,6 +6,7 @@
 use crate::routing::{ClientId, Input};
 use futures_util::{SinkExt, StreamExt};
 use std::io;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout, Duration};
@@ -20,6 +21,8 @@
 const SLOW_REQUEST: Duration = Duration::from_secs(10);
 /// A client reads its answer within this, or its connection is given up.
 const SLOW_READER: Duration = Duration::from_secs(5);
+/// How long bytes of a rejected request are still read and thrown away.
+const LINGER: Duration = Duration::from_secs(1);
 /// After a failed accept (no descriptors left) before the next.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -49,8 +52,10 @@
     let _ = stream.set_nodelay(true);
     let mut connection = shared.pool.frame::<Response, _, _>(stream, ServerCodec::default());
     let _ = shared.inputs.send(Input::ClientOpened { client }).await;
-    if let Err(e) = converse(&shared, client, &mut connection, &mut commands).await {
-        tracing::debug!(client, "client connection: {e}");
+    match converse(&shared, client, &mut connection, &mut commands).await {
+        Ok(()) if connection.codec().is_dead() => linger(&mut connection).await,
+        Ok(()) => {}
+        Err(e) => tracing::debug!(client, "client connection: {e}"),
     }
     shared.clients.borrow_mut().remove(&client);
     shared.pool.recover(connection);
@@ -100,6 +105,13 @@
     }
 }
 
+/// A client whose request was cut short may still be sending it. Closing on unread bytes would reset the
+/// connection, and the reset can overtake the answer that says what was wrong.
+async fn linger(connection: &mut Connection) {
+    let _ = connection.get_mut().shutdown().await;
+    let _ = timeout(LINGER, async { while let Some(Ok(_)) = connection.next().await {} }).await;
+}
+
 async fn respond(connection: &mut Connection, response: Response) -> io::Result<()> {
     match timeout(SLOW_READER, connection.send(response)).await {
         Ok(sent) => sent,
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -36,6 +36,8 @@
     pub closed: Vec<ClientId>,
     pub listening: bool,
     pub exited: bool,
+    /// No socket takes the last byte of a frame.
+    pub stuck: bool,
     told: BTreeMap<String, String>,
     writing: BTreeSet<LinkId>,
     clients: u64,
@@ -65,7 +67,7 @@
         let (site, decisions) = (settings::site(text).unwrap(), settings::parse(text).unwrap());
         let lines: Vec<_> = (1..=replicas).map(|r| (r, "up", 0)).collect();
         Bed {
-            state: State::new(START, site, decisions, 7, &listing(1, true, &lines)),
+            state: State::new(START, site, decisions, 7, &listing(1, true, &lines), 1024),
             now: START,
             replies: BTreeMap::new(),
             left: BTreeSet::new(),
@@ -75,6 +77,7 @@
             closed: Vec::new(),
             listening: true,
             exited: false,
+            stuck: false,
             told: (1..=replicas).map(|r| (address(r), "up".to_string())).collect(),
             writing: BTreeSet::new(),
             clients: 0,
@@ -123,8 +126,10 @@
                     ToLeaf::Probe | ToLeaf::ProbeLoad => {}
                 }
                 self.frames.push((link, frame));
-                self.writing.remove(&link);
-                self.put(Input::LinkWrote { link });
+                if !self.stuck {
+                    self.writing.remove(&link);
+                    self.put(Input::LinkWrote { link });
+                }
             }
             Effect::CloseLink { link } => {
                 self.links.remove(&link);
--- a/tests/connection.rs
+++ b/tests/connection.rs
@@ -88,14 +88,14 @@
                 Step::Take => {
                     let due = model.open && model.writing.is_none();
                     let expected = if due { model.frames.pop_front() } else { None };
-                    prop_assert_eq!(link.take_next(), expected.clone());
+                    prop_assert_eq!(link.take_next(now), expected.clone());
                     if let Some(Job::Call(call)) = &expected {
                         model.stages.insert(call[0].0, Stage::Writing);
                     }
                     model.writing = expected.or(model.writing);
                 }
                 Step::Wrote => {
-                    link.wrote(now);
+                    link.wrote();
                     match model.writing.take() {
                         Some(Job::Call(call)) => {
                             model.stages.entry(call[0].0).and_modify(|stage| *stage = Stage::Written);
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -102,6 +102,17 @@
     assert!(bed.links.keys().all(|link| *link > old), "a new one shows at once whether anyone is there");
 }
 
+#[test]
+fn a_frame_that_the_socket_never_takes_does_not_hold_its_connection_for_ever() {
+    let mut bed = Bed::new(1);
+    bed.stuck = true;
+    bed.ask(1, &[1.0]);
+    bed.open_all();
+    let old = *bed.links.keys().next().unwrap();
+    bed.pass(6000);
+    assert!(!bed.links.contains_key(&old), "its machine has vanished with the buffer full");
+}
+
 #[test]
 fn a_late_answer_to_what_was_given_up_is_ignored() {
     let mut bed = Bed::new(1);
@@ -225,6 +236,23 @@
     assert!(bed.exited);
 }
 
+#[test]
+fn a_client_accepted_as_the_listener_goes_does_not_hold_up_the_end() {
+    let mut bed = Bed::new(1);
+    bed.put(Input::Terminate);
+    bed.pass(800);
+    assert!(bed.exited);
+    let mut bed = Bed::new(1);
+    let busy = bed.ask(1, &[1.0]);
+    bed.open_all();
+    bed.put(Input::Terminate);
+    bed.pass(800);
+    let idle = bed.connect();
+    assert_eq!(bed.closed, [idle]);
+    bed.answer_all();
+    assert!(bed.exited && bed.replies[&busy].len() == 1);
+}
+
 #[test]
 fn a_remembered_list_may_be_old_and_a_whole_one_replaces_it() {
     let mut bed = Bed::with(SETTINGS, 2);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -64,7 +64,7 @@
             ..Names::default()
         };
         let clock = Clock::start();
-        let state = State::new(clock.now(), site, decisions, 7, &Default::default());
+        let state = State::new(clock.now(), site, decisions, 7, &Default::default(), 1024);
         let (peers, discovery) = (Vec::new(), discovery_at.1);
         let addresses = Addresses { discovery, peer_listen: None, peers, peers_all: None };
         let (_told, terminate) = mpsc::channel(1);
@@ -128,6 +128,17 @@
     });
 }
 
+#[test]
+fn a_body_that_is_too_large_is_refused_and_not_reset() {
+    against(|at| async move {
+        let mut stream = TcpStream::connect(at).await.unwrap();
+        let head = "POST /lookup HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n";
+        let body = "x".repeat(1_000_000);
+        stream.write_all((head.to_string() + &body).as_bytes()).await.unwrap();
+        assert!(answer(&mut stream).await.0.starts_with("HTTP/1.1 413"));
+    });
+}
+
 #[test]
 fn a_bad_request_is_named_and_the_next_client_served() {
     against(|at| async move {
