Ask each idle client once to make room, not the oldest one again and again

Seen: a probe with 600 idle clients held 610 descriptors where 409 client connections were meant. Line at fault: state.rs client_opened() picked the oldest idle client for each new one; until that one had gone, a burst of new clients all asked the same one.

--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -64,6 +64,8 @@
     query: Option<RequestId>,
     /// When its last reply went out, or it came.
     since: Nanos,
+    /// It has been asked to close.
+    closing: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -215,14 +217,17 @@
 
     fn client_opened(&mut self, now: Nanos, client: ClientId) {
         self.counters.connections.clients += 1;
-        self.clients.insert(client, Client { query: None, since: now });
+        self.clients.insert(client, Client { since: now, ..Client::default() });
         if self.closing {
             // Accepted as the listener went: without a request on it, it would hold up the end.
             self.effects.push(Effect::CloseClient { client });
         } else if self.clients.len() > self.most_connections {
-            let idle = self.clients.iter().filter(|(id, c)| c.query.is_none() && **id != client);
-            if let Some(oldest) = idle.min_by_key(|(_, c)| c.since).map(|(id, _)| *id) {
-                self.effects.push(Effect::CloseClient { client: oldest });
+            // Each is asked once: many may come before the first one asked has gone.
+            let idle = |id: &ClientId, c: &Client| c.query.is_none() && !c.closing && *id != client;
+            let idle = self.clients.iter_mut().filter(|(id, c)| idle(id, c));
+            if let Some((oldest, state)) = idle.min_by_key(|(_, c)| c.since) {
+                state.closing = true;
+                self.effects.push(Effect::CloseClient { client: *oldest });
             }
         }
     }
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -5,7 +5,7 @@
 use bed::{Bed, MS, SETTINGS, START};
 use cottonhill::protocol::leaf::{End, ToLeaf};
 use cottonhill::protocol::query::{Asked, Reply};
-use cottonhill::routing::Input;
+use cottonhill::routing::{Effect, Input};
 
 fn calls(bed: &Bed) -> Vec<(u64, String)> {
     let call = |(link, frame): &(u64, ToLeaf)| match frame {
@@ -205,6 +205,15 @@
     assert!(!ready(&mut bed));
 }
 
+#[test]
+fn many_idle_clients_at_once_each_make_room_for_one_more() {
+    let mut bed = Bed::new(1);
+    let opened = |client| bed.state.apply(START, Input::ClientOpened { client });
+    let closed: Vec<Effect> = (1..=420).flat_map(opened).collect();
+    let oldest: Vec<Effect> = (1..=11).map(|client| Effect::CloseClient { client }).collect();
+    assert_eq!(closed, oldest, "of 1,024 descriptors 409 are for clients");
+}
+
 #[test]
 fn told_to_end_it_serves_on_then_closes_between_requests_and_finishes_what_it_took() {
     let mut bed = Bed::new(1);
