Ask a replica that has moved at its new address; drop an unused setting

Seen by reading replicas.rs take(): a new address under a known name was taken over, but link_for() went on using the connections to the old one. They are left to end what is out on them; one test.

--- a/src/routing/link.rs
+++ b/src/routing/link.rs
@@ -147,7 +147,7 @@
         self.out.remove(wire).map(|out| out.attempt)
     }
 
-    /// The probe that an answer is for: the outer none where none was asked.
+    /// The probe that an answer is for; none where it was given up, or none was asked.
     pub fn probed(&mut self) -> Option<u64> {
         self.probes.pop_front().flatten()
     }
--- a/src/routing/replicas.rs
+++ b/src/routing/replicas.rs
@@ -81,6 +81,10 @@
         let next = ReplicaId(self.numbers.len() as u64 + 1);
         let id = *self.numbers.entry(endpoint.name.clone()).or_insert(next);
         let replica = self.known.entry(id).or_insert(Replica { address, standing, links: Vec::new() });
+        if replica.address != address {
+            // It has moved: its old connections lead elsewhere and only end what is out on them.
+            replica.links.clear();
+        }
         (replica.address, replica.standing) = (address, standing);
         let zone = self.zones.iter().position(|zone| *zone == endpoint.zone);
         Some(Member {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -159,8 +159,6 @@
     pub needs: Vec<f64>,
     pub floors: Vec<f64>,
     pub shards: u32,
-    /// This mixer's number.
-    pub me: u32,
     pub call_parts: usize,
     pub streams: usize,
     pub max_attempts: usize,
@@ -193,7 +191,6 @@
         tenants: pairs.names("orgs")?,
         zones: pairs.list("localities"),
         shards: number32(&pairs, "extra.ranges")?,
-        me: pairs.get("me")?.unwrap_or_default(),
         call_parts: pairs.get("extra.bundle_max")?.unwrap_or(1).max(1),
         streams: pairs.get("limits.streams_per_conn")?.unwrap_or(1).max(1),
         max_attempts: pairs.get("limits.max_attempts")?.unwrap_or(usize::from(u8::MAX)),
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -218,9 +218,14 @@
         self.put(Input::LinkClosed { link });
     }
 
+    /// Notes what a list says of an address, for the checks on what is written there.
+    pub fn told(&mut self, address: &str, status: &str) {
+        self.told.insert(address.to_string(), status.to_string());
+    }
+
     pub fn list(&mut self, replica: u64, status: &str, since: u64) {
         self.index += 1;
-        self.told.insert(address(replica), status.to_string());
+        self.told(&address(replica), status);
         self.put(Input::Listed(listing(self.index, false, &[(replica, status, since)])));
     }
 
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -2,7 +2,7 @@
 
 mod bed;
 
-use bed::{Bed, MS, SETTINGS, START};
+use bed::{Bed, MS, START};
 use cottonhill::protocol::leaf::{End, ToLeaf};
 use cottonhill::protocol::query::{Asked, Reply};
 use cottonhill::routing::{Effect, Input};
@@ -262,13 +262,33 @@
     assert!(bed.exited && bed.replies[&busy].len() == 1);
 }
 
+/// The whole list: replica 2 alone, at this address.
+fn only_the_second(address: &str) -> Input {
+    let line = serde_json::json!({"name": "s-2", "address": address, "group": 0, "status": "up"});
+    let whole = serde_json::json!({"index": 9, "snapshot": true, "endpoints": [line]});
+    Input::Listed(serde_json::from_value(whole).expect("a list"))
+}
+
 #[test]
 fn a_remembered_list_may_be_old_and_a_whole_one_replaces_it() {
-    let mut bed = Bed::with(SETTINGS, 2);
-    let whole = serde_json::json!({"index": 9, "snapshot": true, "endpoints": [{"name": "s-2",
-        "address": bed::address(2), "zone": "north", "group": 0, "status": "up", "since_ms": 0}]});
-    bed.put(Input::Listed(serde_json::from_value(whole).unwrap()));
+    let mut bed = Bed::new(2);
+    bed.put(only_the_second(&bed::address(2)));
     bed.ask(1, &[0.5, 0.5]);
     assert!(bed.links.values().all(|(address, _)| *address == bed::address(2)), "{:?}", bed.links);
     assert_eq!(bed.state.list_index(), 9);
 }
+
+#[test]
+fn a_replica_that_has_moved_is_asked_at_its_new_address() {
+    let mut bed = Bed::new(2);
+    bed.ask(1, &[0.5, 0.5]);
+    bed.open_all();
+    bed.answer_all();
+    bed.told("127.0.0.9:7070", "up");
+    bed.put(only_the_second("127.0.0.9:7070"));
+    let before = bed.frames.len();
+    bed.ask(1, &[1.0]);
+    bed.open_all();
+    let sent: Vec<&str> = bed.frames[before..].iter().map(|(link, _)| bed.links[link].0.as_str()).collect();
+    assert_eq!(sent, ["127.0.0.9:7070"]);
+}
