Drop what expired while it waited even if the socket is free before the turn

Seen by reading state.rs pump(): frames go out at once when a socket takes the frame before or a connection comes up, while expiry was only looked at in the turn after. A part could leave with d=0. pump() now ends expired attempts that have not gone out first; one test with a socket that was stuck past the aim.

--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -508,9 +508,21 @@
         self.ended(id, outcome, LoadReport::new());
     }
 
+    /// What has waited past its time must not go out, though its alarm has yet to ring: the socket may be
+    /// free for it a moment before the turn.
+    fn drop_expired(&mut self, now: Nanos, link: LinkId) {
+        let unsent = self.links.get(&link).map(|(_, it)| it.unsent()).unwrap_or_default();
+        for id in unsent {
+            if self.attempts.get(&id).is_some_and(|attempt| attempt.until <= now) {
+                self.end_attempt(now, id, Outcome::TimedOut);
+            }
+        }
+    }
+
     /// Hands each connection with work its next frame, and closes those that have none and no future.
     fn pump(&mut self, now: Nanos) {
         while let Some(link) = self.pending.pop_first() {
+            self.drop_expired(now, link);
             let Some((id, it)) = self.links.get_mut(&link) else { continue };
             let id = *id;
             if it.is_spent() {
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -113,6 +113,18 @@
     assert!(!bed.links.contains_key(&old), "its machine has vanished with the buffer full");
 }
 
+#[test]
+fn what_expired_while_it_waited_does_not_go_out_when_the_socket_is_free_at_last() {
+    let mut bed = Bed::new(1);
+    bed.stuck = true;
+    bed.ask(1, &[0.5, 0.5]);
+    bed.open_all();
+    let link = *bed.links.keys().next().unwrap();
+    let effects = bed.state.apply(START + 2100 * MS, Input::LinkWrote { link });
+    assert_eq!(effects, [], "its time was the aim of 2 s");
+    assert_eq!(bed.state.counters().ended.not_sent, 1);
+}
+
 #[test]
 fn a_late_answer_to_what_was_given_up_is_ignored() {
     let mut bed = Bed::new(1);
