--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -37,7 +37,7 @@
 }
 
 /// All that a start needs.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
@@ -75,6 +75,20 @@
     }
 }
 
+impl Config {
+    /// What `next` states otherwise and only a start takes up.
+    pub fn needs_restart(&self, next: &Config) -> Vec<&'static str> {
+        let changed = [
+            ("name", self.name != next.name),
+            ("listen", self.listen != next.listen),
+            ("limits", self.descriptors != next.descriptors),
+            ("peer_listen", self.addresses.peer_listen != next.addresses.peer_listen),
+            ("settings", self.site != next.site || self.settings != next.settings),
+        ];
+        changed.into_iter().filter(|(_, changed)| *changed).map(|(what, _)| what).collect()
+    }
+}
+
 /// Nested JSON as lines of `path=value`.
 pub fn flatten(settings: &Value) -> Result<String, String> {
     if !settings.is_object() {
--- a/src/routing/counters.rs
+++ b/src/routing/counters.rs
@@ -10,6 +10,7 @@
     pub answered: Answered,
     pub connections: Connections,
     pub lists: u64,
+    pub reloads: Reloads,
     /// What must never happen; each is logged with its cause.
     pub faults: Faults,
 }
@@ -67,6 +68,13 @@
     pub idle: u64,
 }
 
+/// Times the configuration was read again.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Reloads {
+    pub taken: u64,
+    pub bad: u64,
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Faults {
     /// Queries that were open until the last moment and failed then.
--- a/src/routing/messages.rs
+++ b/src/routing/messages.rs
@@ -46,6 +46,10 @@
         from: u32,
         bytes: Vec<u8>,
     },
+    /// The configuration was read again and names discovery's address; none if it does not do.
+    Reloaded {
+        discovery: Option<SocketAddr>,
+    },
     /// A planned end.
     Terminate,
     /// What was ready has been put in; now decide.
@@ -78,6 +82,11 @@
         to: Option<u32>,
         bytes: Vec<u8>,
     },
+    /// Watch the list of leaf servers there, from this version on, and no longer where it was watched.
+    Watch {
+        address: SocketAddr,
+        from: u64,
+    },
     StopListening,
     Exit(Box<Counters>),
 }
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -13,6 +13,7 @@
 use crate::Coordinator;
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 const MS: Nanos = 1_000_000;
@@ -200,6 +201,7 @@
             }
             Input::Listed(listing) => self.take_list(now, &listing),
             Input::Datagram { from, bytes } => self.events.push(Event::Message { from, bytes }),
+            Input::Reloaded { discovery } => self.reloaded(discovery),
             Input::Terminate => self.terminate(now),
             Input::Turn => self.turn(now),
         }
@@ -348,6 +350,17 @@
         }
     }
 
+    /// The list, its version, connections and queries stay; only where the list comes from changes. It is
+    /// asked for anew even at the same address: whoever reloads may want just that.
+    fn reloaded(&mut self, discovery: Option<SocketAddr>) {
+        let Some(address) = discovery else {
+            self.counters.reloads.bad += 1;
+            return;
+        };
+        self.counters.reloads.taken += 1;
+        self.effects.push(Effect::Watch { address, from: self.replicas.index });
+    }
+
     fn heard(&mut self, now: Nanos, link: LinkId, frame: FromLeaf) {
         let Some((_, it)) = self.links.get_mut(&link) else { return };
         it.hear(now);
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -41,6 +41,13 @@
     pub peers_all: Option<SocketAddr>,
 }
 
+/// What the operator says to a running mixer.
+pub enum Told {
+    End,
+    /// Whom to speak to from now on; none if what was read does not do.
+    Reload(Option<Addresses>),
+}
+
 /// What every connection's task holds.
 #[derive(Clone)]
 struct Shared {
@@ -54,34 +61,57 @@
 struct Driver {
     shared: Shared,
     links: HashMap<LinkId, leaf::Handle>,
-    udp: Option<(Rc<UdpSocket>, peers::Book)>,
+    udp: Option<Udp>,
     listener: AbortHandle,
+    watch: AbortHandle,
     exited: bool,
 }
 
+/// The socket for datagrams, who is where, and the task that listens.
+struct Udp {
+    socket: Rc<UdpSocket>,
+    book: peers::Book,
+    task: AbortHandle,
+}
+
+impl Udp {
+    fn start(shared: &Shared, socket: Rc<UdpSocket>, addresses: &Addresses) -> Udp {
+        let book = peers::Book::new(addresses);
+        let task = tokio::task::spawn_local(peers::listen(shared.clone(), socket.clone(), book.clone()));
+        Udp { socket, book, task: task.abort_handle() }
+    }
+}
+
+fn watch(shared: &Shared, address: SocketAddr, from: u64) -> AbortHandle {
+    tokio::task::spawn_local(watch::follow(shared.clone(), address, from)).abort_handle()
+}
+
 /// Serves on `listener` until the reducer asks for the end. Must run inside a `LocalSet`.
 pub async fn serve(
     mut state: State, clock: Clock, names: Names, listener: TcpListener, addresses: Addresses,
-    mut terminate: mpsc::Receiver<()>,
+    mut told: mpsc::Receiver<Told>,
 ) -> io::Result<()> {
     let (inputs, mut arrived) = mpsc::channel(MOST_INPUTS);
     let shared =
         Shared { clock, pool: Pool::default(), inputs, clients: Rc::default(), names: Rc::new(names) };
     let udp = match addresses.peer_listen {
-        Some(at) => Some((Rc::new(UdpSocket::bind(at).await?), peers::Book::new(&addresses))),
+        Some(at) => Some(Udp::start(&shared, Rc::new(UdpSocket::bind(at).await?), &addresses)),
         None => None,
     };
-    if let Some((socket, book)) = &udp {
-        tokio::task::spawn_local(peers::listen(shared.clone(), socket.clone(), book.clone()));
-    }
     let listener = tokio::task::spawn_local(clients::listen(shared.clone(), listener)).abort_handle();
-    tokio::task::spawn_local(watch::follow(shared.clone(), addresses.discovery, state.list_index()));
-    let mut driver = Driver { shared, links: HashMap::new(), udp, listener, exited: false };
+    let watch = watch(&shared, addresses.discovery, state.list_index());
+    let mut driver = Driver { shared, links: HashMap::new(), udp, listener, watch, exited: false };
     while !driver.exited {
         let due = state.next_due().map(|at| clock.instant(at));
         tokio::select! {
             biased;
-            Some(()) = terminate.recv() => driver.put(&mut state, clock.now(), Input::Terminate),
+            Some(told) = told.recv() => {
+                let input = match told {
+                    Told::End => Input::Terminate,
+                    Told::Reload(addresses) => driver.reload(addresses),
+                };
+                driver.put(&mut state, clock.now(), input);
+            }
             Some(input) = arrived.recv() => {
                 // What the other sockets have ready joins the same turn.
                 tokio::task::yield_now().await;
@@ -109,6 +139,15 @@
         }
     }
 
+    /// Datagrams go by the new addresses at once; where the list comes from is state, for the reducer.
+    fn reload(&mut self, addresses: Option<Addresses>) -> Input {
+        if let Some((udp, addresses)) = self.udp.as_mut().zip(addresses.as_ref()) {
+            udp.task.abort();
+            *udp = Udp::start(&self.shared, udp.socket.clone(), addresses);
+        }
+        Input::Reloaded { discovery: addresses.map(|addresses| addresses.discovery) }
+    }
+
     fn perform(&mut self, effect: Effect) {
         match effect {
             Effect::Reply { client, reply, close } => {
@@ -126,10 +165,14 @@
             }
             Effect::CloseLink { link } => drop(self.links.remove(&link)),
             Effect::Datagram { to, bytes } => {
-                if let Some((socket, book)) = &self.udp {
+                if let Some(Udp { socket, book, .. }) = &self.udp {
                     book.send(socket, to, &bytes);
                 }
             }
+            Effect::Watch { address, from } => {
+                self.watch.abort();
+                self.watch = watch(&self.shared, address, from);
+            }
             Effect::StopListening => self.listener.abort(),
             Effect::Exit(counters) => {
                 let text = serde_json::to_string(&*counters).unwrap_or_default();
--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -49,8 +49,9 @@
         let Some(line) = line else { return Err(ErrorKind::UnexpectedEof.into()) };
         let listing = discovery::line(&line?).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
         if let Some(listing) = listing {
-            *index = listing.index;
+            let next = listing.index;
             let _ = shared.inputs.send(Input::Listed(listing)).await;
+            *index = next;
         }
     }
 }
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -135,7 +135,7 @@
                 self.links.remove(&link);
                 self.out.remove(&link);
             }
-            Effect::Datagram { .. } => {}
+            Effect::Datagram { .. } | Effect::Watch { .. } => {}
             Effect::StopListening => self.listening = false,
             Effect::Exit(_) => self.exited = true,
         }
--- /dev/null
+++ b/tests/reload.rs
@@ -0,0 +1,108 @@
+//! The program itself as operators run it: a new configuration by SIGHUP, a bad one, and the end after both.
+
+use serde_json::json;
+use std::fs;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, BufReader, Lines};
+use tokio::net::unix::pipe;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Only for a program that hangs: nothing here waits for time to pass.
+const HANGS: Duration = Duration::from_secs(20);
+
+struct Program {
+    child: Child,
+    config: PathBuf,
+    log: Lines<BufReader<pipe::Receiver>>,
+}
+
+impl Program {
+    fn start(name: &str, discovery: &str) -> Program {
+        let config = std::env::temp_dir().join(format!("cottonhill-{}-{name}.json", std::process::id()));
+        fs::write(&config, text(discovery)).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cottonhill"))
+            .env("BALANCER_CONFIG", &config)
+            .env("COTTONHILL_LOG", "info")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let log = pipe::Receiver::from_owned_fd(child.stderr.take().unwrap().into()).unwrap();
+        Program { child, config, log: BufReader::new(log).lines() }
+    }
+
+    /// Reads the log up to a line with these words.
+    async fn says(&mut self, words: &str) {
+        loop {
+            let line = tokio::time::timeout(HANGS, self.log.next_line()).await;
+            let line = line.unwrap_or_else(|_| panic!("it never says '{words}'")).unwrap();
+            let line = line.unwrap_or_else(|| panic!("it ended before it said '{words}'"));
+            if line.contains(words) {
+                return;
+            }
+        }
+    }
+
+    async fn signal(&mut self, signal: &str, answer: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
+        self.says(answer).await;
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.config);
+    }
+}
+
+fn text(discovery: &str) -> String {
+    let known = json!({"index": 41, "snapshot": true, "endpoints": []});
+    let settings = json!({
+        "classes": [{"name": "a", "aim_ns": 2, "give_up_ns": 6, "semantics": "read_like"}],
+        "extra": {"places": 1, "reach": 1, "ranges": 2, "class_need": [1.0], "least_share": [0.6],
+            "partial_earns": [0.9], "second_step": [0]},
+        "replicas_of_me": 1, "tick_ns": 5,
+    });
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1", "known": known,
+        "settings": settings})
+    .to_string()
+}
+
+async fn discovery() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    (listener, address)
+}
+
+/// The next watch that is asked for there, and the request.
+async fn watch(listener: &TcpListener) -> (TcpStream, String) {
+    let (mut stream, _) = tokio::time::timeout(HANGS, listener.accept()).await.expect("a watch").unwrap();
+    let mut request = Vec::new();
+    while !request.ends_with(b"\r\n\r\n") {
+        request.push(stream.read_u8().await.unwrap());
+    }
+    (stream, String::from_utf8(request).unwrap())
+}
+
+#[tokio::test]
+async fn a_reload_moves_the_watch_a_bad_file_changes_nothing_and_the_end_still_comes() {
+    let (old, new) = (discovery().await, discovery().await);
+    let mut program = Program::start("reload", &old.1);
+    let (mut first, _) = watch(&old.0).await;
+    fs::write(&program.config, "{").unwrap();
+    program.signal("-HUP", "stays as it was").await;
+    fs::write(&program.config, text(&new.1)).unwrap();
+    program.signal("-HUP", "read again").await;
+    let (_second, request) = watch(&new.0).await;
+    assert!(request.contains("from=41 "), "it goes on from the list it holds: {request}");
+    assert_eq!(first.read(&mut [0]).await.unwrap(), 0, "the old watch has ended");
+    fs::write(&program.config, text(&old.1)).unwrap();
+    program.signal("-HUP", "read again").await;
+    let _third = watch(&old.0).await;
+    program.signal("-TERM", "served all").await;
+    assert!(program.child.wait().unwrap().success());
+}
