--- a/src/choice.rs
+++ b/src/choice.rs
@@ -70,7 +70,8 @@
 
 /// Replicas at which a query's attempts broke from which on it is held to bring them down.
 const HARM: usize = 3;
-/// Times the told price of crossing zones by which a replica in another zone counts as slower.
+/// Aims by which an answer from another zone counts as later, times the told price of crossing: the price is the
+/// same at any load, so it weighs most where time is plenty.
 const FAR: f64 = 4.0;
 /// Kinds of connection that an attempt goes out on.
 const IN_USE: usize = 0;
@@ -558,7 +559,8 @@
             let tried = part.attempts.iter().any(|a| a.replica == id) as u32;
             let rank = 2 * self.suspect(replica) as u32 + tried;
             let price = if replica.zone == self.settings.zone { 0.0 } else { self.settings.zone_price };
-            let score = self.latency(replica) * f64::from(self.open_calls(replica) + 1) * (1.0 + FAR * price);
+            let queue = self.latency(replica) * f64::from(self.open_calls(replica) + 1);
+            let score = queue + FAR * price * self.shortest_aim();
             let key = (rank, score, !replica.calls.contains_key(&self.now), random.u32(..));
             if best.is_none_or(|(least, _)| key < least) {
                 best = Some((key, id));
@@ -640,13 +642,8 @@
         if number > 0 {
             self.extras.push_back(self.now);
         }
-        part.attempts.push(Attempt {
-            replica: id,
-            sent: self.now,
-            out: true,
-            never_ran: false,
-            broke: false,
-        });
+        let attempt = Attempt { replica: id, sent: self.now, out: true, never_ran: false, broke: false };
+        part.attempts.push(attempt);
         let connection = self.connection(id, actions);
         self.flights.insert((part.id, number), (id, self.now, connection));
         let window = self.now.saturating_sub(self.settings.fall_time);
