--- a/src/choice.rs
+++ b/src/choice.rs
@@ -70,8 +70,8 @@
 
 /// Replicas at which a query's attempts broke from which on it is held to bring them down.
 const HARM: usize = 3;
-/// Aims by which an answer from another zone counts as later, times the told price of crossing: the price is the
-/// same at any load, so it weighs most where time is plenty.
+/// Aims by which an answer from another zone counts as later, times the told price of crossing: the price
+/// is the same at any load, so it weighs most where time is plenty.
 const FAR: f64 = 4.0;
 /// Kinds of connection that an attempt goes out on.
 const IN_USE: usize = 0;
--- a/src/protocol/http.rs
+++ b/src/protocol/http.rs
@@ -167,6 +167,11 @@
         self.dead
     }
 
+    /// The request that is being read is not waited for any longer.
+    pub fn give_up(&mut self) {
+        self.dead = true;
+    }
+
     fn read_head(src: &mut BytesMut) -> Result<Option<(Request, Body)>, Rejection> {
         let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
         let mut parsed = httparse::Request::new(&mut headers);
@@ -250,6 +255,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         503 => "Service Unavailable",
--- a/src/protocol/query.rs
+++ b/src/protocol/query.rs
@@ -130,6 +130,9 @@
     }))
 }
 
+/// How far the weights of a query may be off a sum of 1: they are rounded, each by a little.
+const ROUNDING: f64 = 0.01;
+
 /// The parts, each shard once: a second one would have the same name at the leaf server.
 fn parts(shards: Vec<Shard>, most: u32) -> Result<Vec<AskedPart>, Rejection> {
     let mut seen = BTreeSet::new();
@@ -140,15 +143,21 @@
         if s.shard >= most || !seen.insert(s.shard) {
             return Err(bad("a shard that does not exist or is named twice"));
         }
-        if !s.weight.is_finite() || s.weight < 0.0 {
+        if !(0.0..=1.0 + ROUNDING).contains(&s.weight) {
             return Err(bad("a weight that is no share"));
         }
-        let work = s.cost.filter(|c| *c >= 0.0).map(|c| (c * 1e3) as Nanos);
+        let work = s.cost.filter(|c| *c >= 0.0).map(|c| (c * 1e3).min(LONGEST) as Nanos);
         Ok(AskedPart { shard: s.shard, weight: s.weight, work })
     };
-    shards.into_iter().map(part).collect()
+    let parts: Vec<AskedPart> = shards.into_iter().map(part).collect::<Result<_, _>>()?;
+    let sum: f64 = parts.iter().map(|part| part.weight).sum();
+    let fits = (sum - 1.0).abs() <= ROUNDING;
+    fits.then_some(parts).ok_or(bad("weights that do not add up to 1"))
 }
 
+/// An hour, in ns, is longer than any deadline or work; more would only overflow sums of times.
+const LONGEST: f64 = 3.6e12;
+
 /// A number followed by `m` (milliseconds) or `u` (microseconds).
 fn duration(text: &str) -> Option<Nanos> {
     let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
@@ -157,9 +166,10 @@
         "u" => 1e3,
         _ => return None,
     };
-    let number: f64 = number.trim().parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)?;
-    // An hour is longer than any deadline; more would only overflow sums of times.
-    Some((number * unit).min(3.6e12) as Nanos)
+    // Digits and a point: what else parses as a number (signs, exponents, nan) no client sends that means it.
+    let plain = number.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let number: f64 = number.parse().ok().filter(|_| plain)?;
+    Some((number * unit).min(LONGEST) as Nanos)
 }
 
 #[derive(Serialize)]
--- a/src/routing/counters.rs
+++ b/src/routing/counters.rs
@@ -65,6 +65,8 @@
     pub failed: u64,
     pub broken: u64,
     pub silent: u64,
+    /// Closed since something came on them that can't be read.
+    pub spoilt: u64,
     pub idle: u64,
 }
 
--- a/src/routing/link.rs
+++ b/src/routing/link.rs
@@ -22,6 +22,19 @@
     Open,
 }
 
+/// Ids that are over and may yet be heard of: more than a leaf server has answers under way.
+const MOST_OVER: usize = 64;
+
+/// What an answer's id stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answered {
+    Attempt(AttemptId),
+    /// Answered or given up before: a copy, or an answer that crossed our words.
+    Over,
+    /// Nothing that was ever written here: the answer is spoilt.
+    Unknown,
+}
+
 /// An attempt on the connection: since when the socket has its frame, and whether it took the last byte.
 #[derive(Clone, Debug)]
 struct Out {
@@ -39,6 +52,8 @@
     out: BTreeMap<Rc<str>, Out>,
     /// Probes written, in order; answers carry no id, so one that is given up keeps its place as none.
     probes: VecDeque<Option<u64>>,
+    /// Ids written here that are over, latest last.
+    over: VecDeque<Rc<str>>,
     heard: Nanos,
     /// It swallowed an attempt: nothing new goes out on it until it is heard again.
     silent: bool,
@@ -54,6 +69,7 @@
             writing: None,
             out: BTreeMap::new(),
             probes: VecDeque::new(),
+            over: VecDeque::new(),
             heard: now,
             silent: false,
             idle_since: now,
@@ -140,11 +156,39 @@
         (self.heard, self.silent) = (now, false);
     }
 
-    /// The attempt that an answer is for; none where it was given up before. What has not been written yet
-    /// can't have been answered: that is an earlier attempt's answer under the same id.
-    pub fn answered(&mut self, wire: &str) -> Option<AttemptId> {
-        self.out.get(wire).filter(|out| out.written)?;
-        self.out.remove(wire).map(|out| out.attempt)
+    /// The attempt that an answer is for. What has not been written yet can't have been answered: that is an
+    /// earlier attempt's answer under the same id.
+    pub fn answered(&mut self, wire: &str) -> Answered {
+        match self.out.get_key_value(wire).filter(|(_, out)| out.written) {
+            Some((wire, out)) => {
+                let (wire, attempt) = (wire.clone(), out.attempt);
+                self.out.remove(&wire);
+                self.note_over(wire);
+                Answered::Attempt(attempt)
+            }
+            None if self.over.iter().any(|over| **over == *wire) => Answered::Over,
+            None => Answered::Unknown,
+        }
+    }
+
+    fn note_over(&mut self, wire: Rc<str>) {
+        if self.over.len() == MOST_OVER {
+            self.over.pop_front();
+        }
+        self.over.push_back(wire);
+    }
+
+    /// What a spoilt answer is held to have been for: the attempt it names, else the longest out.
+    pub fn spoilt(&mut self, wire: Option<&str>) -> Option<AttemptId> {
+        let written = |out: &&Out| out.written;
+        let named = wire.and_then(|wire| self.out.get(wire)).filter(written);
+        let oldest = || self.out.values().filter(written).min_by_key(|out| (out.given, out.attempt));
+        named.or_else(oldest).map(|out| out.attempt)
+    }
+
+    /// The attempts whose last byte the socket has taken.
+    pub fn written(&self) -> Vec<AttemptId> {
+        self.out.values().filter(|out| out.written).map(|out| out.attempt).collect()
     }
 
     /// The probe that an answer is for; none where it was given up, or none was asked.
@@ -178,6 +222,7 @@
         if waited {
             return false;
         }
+        self.note_over(wire.clone());
         self.waiting.push_back(Job::GiveUp(wire));
         if let Some(given) = out.given {
             self.silent |= self.heard <= given && now.saturating_sub(given) >= patience;
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -1,7 +1,7 @@
 //! The one state and its changes.
 
 use super::counters::Counters;
-use super::link::{AttemptId, Job, Link, Phase};
+use super::link::{Answered, AttemptId, Job, Link, Phase};
 use super::messages::{ClientId, Effect, Input, LinkId};
 use super::replicas::Replicas;
 use crate::interface::*;
@@ -21,9 +21,15 @@
 const MARGIN: Nanos = 8 * MS;
 /// After SIGTERM new connections still arrive and clients use theirs for 0.7 s: so long all goes on.
 const GRACE: Nanos = 750 * MS;
-/// Of the descriptors, the share in tenths that connections to leaf servers may take, and the share above
-/// which idle clients make room for new ones.
-const CONNECTION_TENTHS: usize = 4;
+/// Of the descriptors, the hundredths that connections to leaf servers may take, and those that clients
+/// may: more than the third that good ones use at most, so that others do not cost them their place.
+const LINK_HUNDREDTHS: usize = 40;
+const CLIENT_HUNDREDTHS: usize = 45;
+/// From half of what clients may take on, one that has said nothing for so long after an answer is closed.
+const CLIENT_IDLE: Nanos = 2_000 * MS;
+/// Connections closed for each that opens, as long as there are any to close: what piles up goes faster
+/// than it comes.
+const CLOSED_AT_ONCE: usize = 2;
 /// The most that one message between mixers may hold.
 const MOST_DATAGRAM: usize = 256;
 /// Share of the idle time after which we close a connection, in tenths: the other end does so at the latest
@@ -33,6 +39,7 @@
 /// A query that waits for its final answer.
 #[derive(Debug)]
 struct Query {
+    name: Rc<str>,
     client: ClientId,
     class: usize,
     deadline: Nanos,
@@ -65,6 +72,8 @@
     query: Option<RequestId>,
     /// When its last reply went out, or it came.
     since: Nanos,
+    /// It has sent a query that could be used.
+    known: bool,
     /// It has been asked to close.
     closing: bool,
 }
@@ -100,6 +109,8 @@
     clients: BTreeMap<ClientId, Client>,
     queries: BTreeMap<RequestId, Query>,
     parts: BTreeMap<RequestId, Part>,
+    /// Of the open queries.
+    names: BTreeSet<Rc<str>>,
     attempts: BTreeMap<AttemptId, Attempt>,
     probes: BTreeMap<u64, Probe>,
     /// Numbers given out so far: to requests, connections, probes, and to queries as groups of parts.
@@ -108,8 +119,8 @@
     /// Links that have something to write, and those whose last call still takes parts of this turn.
     pending: BTreeSet<LinkId>,
     joining: BTreeSet<LinkId>,
-    /// Of each sort.
-    most_connections: usize,
+    most_links: usize,
+    most_clients: usize,
     listed: bool,
     terminated: Option<Nanos>,
     closing: bool,
@@ -123,7 +134,8 @@
         now: Nanos, site: Site, settings: Settings, seed: u64, known: &Listing, descriptors: usize,
     ) -> State {
         let mut state = State {
-            most_connections: descriptors * CONNECTION_TENTHS / 10,
+            most_links: descriptors * LINK_HUNDREDTHS / 100,
+            most_clients: descriptors * CLIENT_HUNDREDTHS / 100,
             replicas: Replicas::new(site.zones.clone()),
             site,
             module: Coordinator::new(settings, seed),
@@ -134,6 +146,7 @@
             clients: BTreeMap::new(),
             queries: BTreeMap::new(),
             parts: BTreeMap::new(),
+            names: BTreeSet::new(),
             attempts: BTreeMap::new(),
             probes: BTreeMap::new(),
             last_id: 0,
@@ -158,6 +171,11 @@
         self.replicas.index
     }
 
+    /// Clients' connections that there is room for.
+    pub fn most_clients(&self) -> usize {
+        self.most_clients
+    }
+
     /// When the next turn is due, whatever comes in until then.
     pub fn next_due(&self) -> Option<Nanos> {
         if !self.events.is_empty() {
@@ -223,13 +241,25 @@
         if self.closing {
             // Accepted as the listener went: without a request on it, it would hold up the end.
             self.effects.push(Effect::CloseClient { client });
-        } else if self.clients.len() > self.most_connections {
-            // Each is asked once: many may come before the first one asked has gone.
-            let idle = |id: &ClientId, c: &Client| c.query.is_none() && !c.closing && *id != client;
-            let idle = self.clients.iter_mut().filter(|(id, c)| idle(id, c));
-            if let Some((oldest, state)) = idle.min_by_key(|(_, c)| c.since) {
+        } else if self.clients.len() > self.most_clients / 2 {
+            self.make_room(now, client);
+        }
+    }
+
+    /// Closes the clients that need their connection least: those that never sent a query that could be
+    /// used, then those that have been idle for longest. Each is asked once: many may come before the first
+    /// one asked has gone.
+    fn make_room(&mut self, now: Nanos, newest: ClientId) {
+        let full = self.clients.len() > self.most_clients;
+        let spare = |c: &Client| c.known && now.saturating_sub(c.since) >= CLIENT_IDLE;
+        let idle = |id: &ClientId, c: &Client| c.query.is_none() && !c.closing && *id != newest;
+        let idle = self.clients.iter().filter(|(id, c)| idle(id, c) && (full || spare(c)));
+        let mut idle: Vec<_> = idle.map(|(id, c)| (c.known, c.since, *id)).collect();
+        idle.sort_unstable();
+        for (_, _, client) in idle.into_iter().take(CLOSED_AT_ONCE) {
+            if let Some(state) = self.clients.get_mut(&client) {
                 state.closing = true;
-                self.effects.push(Effect::CloseClient { client: *oldest });
+                self.effects.push(Effect::CloseClient { client });
             }
         }
     }
@@ -247,7 +277,8 @@
             }
             Err(rejection) => {
                 self.counters.taken.rejected += 1;
-                tracing::info!(client, status = rejection.status, why = rejection.why, "request rejected");
+                // Some clients send nothing else, as fast as they can: the log would be theirs.
+                tracing::debug!(client, status = rejection.status, why = rejection.why, "request rejected");
                 self.reply(now, client, Reply::Rejected(rejection));
             }
         }
@@ -257,6 +288,11 @@
         if !self.clients.contains_key(&client) {
             return;
         }
+        // Its parts would have the names that the open one's have at the leaf servers.
+        if self.names.contains(&*asked.name) {
+            let rejection = Rejection { status: 409, why: "X-Request-ID is that of an open query" };
+            return self.asked(now, client, arrived, Err(rejection));
+        }
         // A part that is in is not open any more: counting it would refuse queries that there is room for.
         let open_parts = self.parts.values().filter(|part| part.value.is_none()).count();
         if self.queries.len() + open_parts >= self.site.open_cap {
@@ -282,7 +318,7 @@
         self.last_group = self.last_group.wrapping_add(1);
         let group = self.last_group;
         if let Some(client) = self.clients.get_mut(&client) {
-            client.query = Some(id);
+            (client.query, client.known) = (Some(id), true);
         }
         let work = asked.parts.iter().map(|p| p.work).sum();
         let (class, tenant) = (asked.class, asked.tenant);
@@ -302,7 +338,9 @@
         self.counters.taken.repeats += u64::from(asked.repeat);
         let deadline = now + patience;
         self.alarms.insert((deadline, Alarm::LastMoment(id)));
-        self.queries.insert(id, Query { client, class: usize::from(class), deadline, parts });
+        let name: Rc<str> = asked.name.as_str().into();
+        self.names.insert(name.clone());
+        self.queries.insert(id, Query { name, client, class: usize::from(class), deadline, parts });
         let patience_ms = patience / MS;
         tracing::debug!(id, name = asked.name, class, patience_ms, open_parts, "query taken");
     }
@@ -319,13 +357,15 @@
     fn reply(&mut self, now: Nanos, client: ClientId, reply: Reply) {
         let Some(state) = self.clients.get_mut(&client) else { return };
         (state.query, state.since) = (None, now);
-        self.effects.push(Effect::Reply { client, reply, close: self.closing });
+        let close = self.closing || state.closing;
+        self.effects.push(Effect::Reply { client, reply, close });
     }
 
     /// Forgets a query and its parts; attempts still out end on their own.
     fn end_query(&mut self, id: RequestId) -> Option<(Query, Vec<Part>)> {
         let query = self.queries.remove(&id)?;
         self.alarms.remove(&(query.deadline, Alarm::LastMoment(id)));
+        self.names.remove(&query.name);
         let parts = query.parts.iter().filter_map(|part| self.parts.remove(part)).collect();
         Some((query, parts))
     }
@@ -367,7 +407,11 @@
         self.pending.insert(link);
         match frame {
             FromLeaf::Answer { id, end, report, value } => {
-                let Some(attempt) = it.answered(&id) else { return };
+                let attempt = match it.answered(&id) {
+                    Answered::Attempt(attempt) => attempt,
+                    Answered::Over => return,
+                    Answered::Unknown => return self.spoilt(now, link, None),
+                };
                 let outcome = match end {
                     End::Ok => Outcome::Ok,
                     End::Err => Outcome::Error,
@@ -386,14 +430,35 @@
                 self.probe_ended(now, probe, outcome, &report);
             }
             FromLeaf::Complaint(words) => tracing::warn!(link, words, "leaf server could not use a frame"),
+            FromLeaf::Spoilt(id) => self.spoilt(now, link, id.as_deref()),
+        }
+    }
+
+    /// A leaf server sent what can't be read. It is alive and ran what it answered: that attempt has
+    /// failed. The others out there wait for what will never come, so they are withdrawn with the
+    /// connection, at once.
+    fn spoilt(&mut self, now: Nanos, link: LinkId, id: Option<&str>) {
+        let Some((replica, it)) = self.links.get_mut(&link) else { return };
+        self.counters.connections.spoilt += 1;
+        tracing::info!(link, replica = replica.0, id, "spoilt answer: its connection is closed");
+        let failed = it.spoilt(id);
+        let others = it.written();
+        if let Some(failed) = failed {
+            self.ended(failed, Outcome::Error, LoadReport::new());
+        }
+        for other in others.into_iter().filter(|other| Some(*other) != failed) {
+            self.ended(other, Outcome::Cancelled, LoadReport::new());
         }
+        self.close_link(now, link);
     }
 
     /// The values of a report, in the order that the settings state; `-` or what lacks one is no report.
     fn report(&self, text: &str) -> LoadReport {
         let value = |name: &String| {
             let mut pairs = text.split([',', ';']).filter_map(|pair| pair.split_once('='));
-            pairs.find(|(key, _)| key.trim() == name).and_then(|(_, v)| v.trim().parse::<f32>().ok())
+            pairs
+                .find(|(key, _)| key.trim() == name)
+                .and_then(|(_, v)| v.trim().parse().ok().filter(|v: &f32| v.is_finite()))
         };
         self.site.report.iter().map(value).collect::<Option<_>>().unwrap_or_default()
     }
@@ -420,7 +485,7 @@
     }
 
     fn open_link(&mut self, now: Nanos, id: ReplicaId) -> Option<LinkId> {
-        if self.links.len() >= self.most_connections {
+        if self.links.len() >= self.most_links {
             return None;
         }
         let link = self.id();
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -9,7 +9,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout, Duration};
+use tokio::time::{sleep, timeout, Duration, Instant};
 use tokio_util::codec::Framed;
 
 pub enum Command {
@@ -17,8 +17,9 @@
     Close,
 }
 
-/// A client that has begun a request sends the rest within this, or is told that it took too long.
-const SLOW_REQUEST: Duration = Duration::from_secs(10);
+/// A request that has begun is whole within this, or its client is told that it took too long; the first
+/// one on a connection begins with the connection, so one that says nothing is closed.
+const WHOLE_REQUEST: Duration = Duration::from_secs(2);
 /// A client reads its answer within this, or its connection is given up.
 const SLOW_READER: Duration = Duration::from_secs(5);
 /// How long bytes of a rejected request are still read and thrown away.
@@ -26,9 +27,16 @@
 /// After a failed accept (no descriptors left) before the next.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
+/// Connections above the most at which no more is accepted: so many are being closed to make room. Were
+/// there no end to it, a flood would take the descriptors that connections to leaf servers need.
+const MOST_CLOSING: usize = 16;
+
 /// Accepts until it is aborted.
-pub async fn listen(shared: Shared, listener: TcpListener) {
+pub async fn listen(shared: Shared, listener: TcpListener, most: usize) {
     for client in 1.. {
+        while shared.clients.borrow().len() >= most + MOST_CLOSING {
+            shared.client_ended.notified().await;
+        }
         let stream = loop {
             match listener.accept().await {
                 Ok((stream, _)) => break stream,
@@ -53,12 +61,13 @@
     let mut connection = shared.pool.frame::<Response, _, _>(stream, ServerCodec::default());
     let _ = shared.inputs.send(Input::ClientOpened { client }).await;
     match converse(&shared, client, &mut connection, &mut commands).await {
-        Ok(()) if connection.codec().is_dead() => linger(&mut connection).await,
+        Ok(()) if connection.codec().is_dead() => linger(&mut connection, &mut commands).await,
         Ok(()) => {}
         Err(e) => tracing::debug!(client, "client connection: {e}"),
     }
-    shared.clients.borrow_mut().remove(&client);
     shared.pool.recover(connection);
+    shared.clients.borrow_mut().remove(&client);
+    shared.client_ended.notify_one();
     let _ = shared.inputs.send(Input::ClientClosed { client }).await;
 }
 
@@ -67,15 +76,18 @@
     shared: &Shared, client: ClientId, connection: &mut Connection, commands: &mut mpsc::Receiver<Command>,
 ) -> io::Result<()> {
     let mut early: Option<Incoming> = None;
+    let mut begun = Some(Instant::now());
     loop {
         let incoming = match early.take() {
             Some(incoming) => Some(incoming),
-            None => next_request(connection, commands).await?,
+            None => next_request(connection, commands, begun.take()).await?,
         };
         let Some(incoming) = incoming else { return Ok(()) };
         let arrived = shared.clock.now();
         let keep = incoming.as_ref().is_ok_and(|request| request.keep_alive);
         let asked = incoming.and_then(|request| query::read(&request, &shared.names));
+        // Who sends what can't be used does so again as soon as it is told: not on this connection.
+        let keep = keep && asked.is_ok();
         if shared.inputs.send(Input::Asked { client, arrived, asked }).await.is_err() {
             return Ok(());
         }
@@ -107,9 +119,14 @@
 
 /// A client whose request was cut short may still be sending it. Closing on unread bytes would reset the
 /// connection, and the reset can overtake the answer that says what was wrong.
-async fn linger(connection: &mut Connection) {
+async fn linger(connection: &mut Connection, commands: &mut mpsc::Receiver<Command>) {
     let _ = connection.get_mut().shutdown().await;
-    let _ = timeout(LINGER, async { while let Some(Ok(_)) = connection.next().await {} }).await;
+    let rest = async { while let Some(Ok(_)) = connection.next().await {} };
+    tokio::select! {
+        _ = timeout(LINGER, rest) => {}
+        // Its place is needed.
+        _ = commands.recv() => {}
+    }
 }
 
 async fn respond(connection: &mut Connection, response: Response) -> io::Result<()> {
@@ -119,31 +136,38 @@
     }
 }
 
-/// The next request; none when the client has closed or the connection is to end between requests.
+/// Part of a request has been read.
+fn in_request(connection: &Connection) -> bool {
+    connection.codec().in_request() || !connection.read_buffer().is_empty()
+}
+
+/// The next request; none when the client has closed, says nothing on a new connection (which `opened`
+/// then), or the connection is to end between requests.
 async fn next_request(
-    connection: &mut Connection, commands: &mut mpsc::Receiver<Command>,
+    connection: &mut Connection, commands: &mut mpsc::Receiver<Command>, opened: Option<Instant>,
 ) -> io::Result<Option<Incoming>> {
     let mut closing = false;
+    let mut begun = opened.or_else(|| in_request(connection).then(Instant::now));
     loop {
-        let begun = connection.codec().in_request() || !connection.read_buffer().is_empty();
-        if closing && !begun {
+        if closing && !in_request(connection) {
             // A request that is here already is taken; one that is not will be sent again elsewhere.
-            let ready = timeout(Duration::ZERO, connection.next()).await;
-            let still = connection.codec().in_request() || !connection.read_buffer().is_empty();
-            match ready {
+            match timeout(Duration::ZERO, connection.next()).await {
                 Ok(next) => return next.transpose(),
-                Err(_) if !still => return Ok(None),
-                Err(_) => {}
+                Err(_) if !in_request(connection) => return Ok(None),
+                Err(_) => begun = begun.or_else(|| Some(Instant::now())),
             }
         }
         tokio::select! {
             biased;
-            next = timeout(SLOW_REQUEST, connection.next()) => match next {
+            next = super::message(connection, &mut begun, WHOLE_REQUEST) => match next {
                 Ok(next) => return next.transpose(),
-                Err(_) if connection.codec().in_request() || !connection.read_buffer().is_empty() => {
+                Err(_) if in_request(connection) => {
+                    connection.codec_mut().give_up();
                     return Ok(Some(Err(Rejection { status: 408, why: "the request took too long" })));
                 }
-                Err(_) => {}
+                Err(_) if opened.is_some() => return Ok(None),
+                // Readiness was out of date: nothing has begun.
+                Err(_) => begun = None,
             },
             command = commands.recv() => match command {
                 Some(Command::Close) => closing = true,
--- a/src/transport/leaf.rs
+++ b/src/transport/leaf.rs
@@ -3,12 +3,17 @@
 use super::{Shared, MOST_COMMANDS};
 use crate::protocol::leaf::{LeafCodec, ToLeaf};
 use crate::routing::{Input, LinkId};
-use futures_util::{SinkExt, StreamExt};
+use futures_util::SinkExt;
 use std::io;
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
+use tokio::time::Duration;
+
+/// A frame that has begun comes whole within this. Answers are a packet each: the rest of one that was cut
+/// short never comes, and all that is out on the connection would wait for it.
+const WHOLE_FRAME: Duration = Duration::from_millis(100);
 
 /// A connection as the driver holds it; letting it go closes the connection.
 pub struct Handle {
@@ -53,7 +58,8 @@
 ) -> io::Result<()> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let mut connection = shared.pool.frame::<ToLeaf, _, _>(stream, LeafCodec);
+    let mut connection = shared.pool.frame::<ToLeaf, _, _>(stream, LeafCodec::default());
+    let mut begun = None;
     let _ = shared.inputs.send(Input::LinkOpened { link }).await;
     let ended = loop {
         tokio::select! {
@@ -65,13 +71,23 @@
                 }
                 let _ = shared.inputs.send(Input::LinkWrote { link }).await;
             }
-            heard = connection.next() => match heard {
-                Some(Ok(frame)) => {
-                    let _ = shared.inputs.send(Input::LinkHeard { link, frame }).await;
-                }
-                Some(Err(e)) => break Err(e),
-                None => break Ok(()),
-            },
+            heard = super::message(&mut connection, &mut begun, WHOLE_FRAME) => {
+                let frame = match heard {
+                    Ok(Some(Ok(frame))) => frame,
+                    Ok(Some(Err(e))) => break Err(e),
+                    Ok(None) => break Ok(()),
+                    // Readiness was out of date: nothing has begun.
+                    Err(_) if connection.read_buffer().is_empty() => {
+                        begun = None;
+                        continue;
+                    }
+                    Err(_) => {
+                        let held = connection.read_buffer().clone();
+                        connection.codec_mut().cut_short(&held)
+                    }
+                };
+                let _ = shared.inputs.send(Input::LinkHeard { link, frame }).await;
+            }
         }
     };
     shared.pool.recover(connection);
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -12,16 +12,19 @@
 
 use crate::protocol::query::Names;
 use crate::routing::{ClientId, Effect, Input, LinkId, State};
+use futures_util::StreamExt;
 use pool::Pool;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::mpsc;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::{mpsc, Notify};
 use tokio::task::AbortHandle;
-use tokio::time::{sleep, sleep_until, Duration};
+use tokio::time::error::Elapsed;
+use tokio::time::{sleep, sleep_until, timeout_at, Duration, Instant};
+use tokio_util::codec::{Decoder, Framed};
 
 /// Inputs that may wait; past it the sockets are read no further until the reducer has caught up.
 const MOST_INPUTS: usize = 1024;
@@ -55,6 +58,8 @@
     pool: Pool,
     inputs: mpsc::Sender<Input>,
     clients: Rc<RefCell<HashMap<ClientId, mpsc::Sender<clients::Command>>>>,
+    /// Told whenever a client's connection has ended: there may be room for one more.
+    client_ended: Rc<Notify>,
     names: Rc<Names>,
 }
 
@@ -86,19 +91,47 @@
     tokio::task::spawn_local(watch::follow(shared.clone(), address, from)).abort_handle()
 }
 
+/// The next message of a connection: none at its end, or the time it was late. `begun` is when what is
+/// being read began; from then on the whole of it has to come within `most`, however many bytes come on the
+/// way. It outlives this call, which may be dropped for something more urgent.
+async fn message<C: Decoder>(
+    connection: &mut Framed<TcpStream, C>, begun: &mut Option<Instant>, most: Duration,
+) -> Result<Option<Result<C::Item, C::Error>>, Elapsed> {
+    let since = match *begun {
+        Some(since) => since,
+        None => {
+            if connection.read_buffer().is_empty() {
+                // An error shows again at the read that follows.
+                let _ = connection.get_ref().readable().await;
+            }
+            *begun.insert(Instant::now())
+        }
+    };
+    let next = timeout_at(since + most, connection.next()).await?;
+    *begun = None;
+    Ok(next)
+}
+
 /// Serves on `listener` until the reducer asks for the end. Must run inside a `LocalSet`.
 pub async fn serve(
     mut state: State, clock: Clock, names: Names, listener: TcpListener, addresses: Addresses,
     mut told: mpsc::Receiver<Told>,
 ) -> io::Result<()> {
     let (inputs, mut arrived) = mpsc::channel(MOST_INPUTS);
-    let shared =
-        Shared { clock, pool: Pool::default(), inputs, clients: Rc::default(), names: Rc::new(names) };
+    let shared = Shared {
+        clock,
+        pool: Pool::default(),
+        inputs,
+        clients: Rc::default(),
+        client_ended: Rc::default(),
+        names: Rc::new(names),
+    };
     let udp = match addresses.peer_listen {
         Some(at) => Some(Udp::start(&shared, Rc::new(UdpSocket::bind(at).await?), &addresses)),
         None => None,
     };
-    let listener = tokio::task::spawn_local(clients::listen(shared.clone(), listener)).abort_handle();
+    let listener = tokio::task::spawn_local(clients::listen(shared.clone(), listener, state.most_clients()));
+    let listener = listener.abort_handle();
     let watch = watch(&shared, addresses.discovery, state.list_index());
     let mut driver = Driver { shared, links: HashMap::new(), udp, listener, watch, exited: false };
     while !driver.exited {
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -212,6 +212,14 @@
         }
     }
 
+    /// Something comes that can't be read, with or without the id of the oldest part out.
+    pub fn spoil(&mut self, link: LinkId, named: bool) {
+        let id = self.out.get(&link).and_then(|out| out.first().cloned()).filter(|_| named);
+        if self.links[&link].1 {
+            self.put(Input::LinkHeard { link, frame: FromLeaf::Spoilt(id) });
+        }
+    }
+
     pub fn break_off(&mut self, link: LinkId) {
         self.links.remove(&link);
         self.out.remove(&link);
--- a/tests/connection.rs
+++ b/tests/connection.rs
@@ -5,7 +5,7 @@
 
 use bed::{Bed, MS};
 use cottonhill::protocol::leaf::{End, ToLeaf};
-use cottonhill::routing::link::{AttemptId, Job, Link};
+use cottonhill::routing::link::{Answered, AttemptId, Job, Link};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, VecDeque};
@@ -107,9 +107,11 @@
                 Step::Answer(k) => {
                     let Some(attempt) = model.nth(k) else { continue };
                     let written = model.stages[&attempt] == Stage::Written;
-                    prop_assert_eq!(link.answered(&wire(attempt)), written.then_some(attempt));
-                    prop_assert_eq!(link.answered("never.asked"), None);
+                    let expected = if written { Answered::Attempt(attempt) } else { Answered::Unknown };
+                    prop_assert_eq!(link.answered(&wire(attempt)), expected);
+                    prop_assert_eq!(link.answered("never.asked"), Answered::Unknown);
                     if written {
+                        prop_assert_eq!(link.answered(&wire(attempt)), Answered::Over, "a copy");
                         model.stages.remove(&attempt);
                     }
                 }
@@ -118,6 +120,8 @@
                     let went_out = model.stages.remove(&attempt) != Some(Stage::Waiting);
                     prop_assert_eq!(link.drop_attempt(attempt, now, MS), went_out);
                     prop_assert!(!link.drop_attempt(attempt, now, MS), "it is over");
+                    let heard = if went_out { Answered::Over } else { Answered::Unknown };
+                    prop_assert_eq!(link.answered(&wire(attempt)), heard, "its answer may cross our words");
                     if went_out {
                         model.frames.push_back(Job::GiveUp(wire(attempt)));
                     } else {
@@ -131,6 +135,13 @@
                 Step::Probed => prop_assert_eq!(link.probed(), model.probes.pop_front()),
             }
             let waiting = model.stages.iter().filter(|(_, stage)| **stage == Stage::Waiting);
+            let written = model.stages.iter().filter(|(_, stage)| **stage == Stage::Written);
+            let written: Vec<AttemptId> = written.map(|(attempt, _)| *attempt).collect();
+            prop_assert_eq!(link.spoilt(None).is_some(), !written.is_empty());
+            for attempt in &written {
+                prop_assert_eq!(link.spoilt(Some(&wire(*attempt))), Some(*attempt));
+            }
+            prop_assert_eq!(link.written().len(), written.len());
             prop_assert_eq!(link.unsent(), waiting.map(|(attempt, _)| *attempt).collect::<Vec<_>>());
             let busy = !(model.stages.is_empty() && model.frames.is_empty() && model.probes.is_empty());
             prop_assert_eq!(link.is_idle(), !busy && model.writing.is_none());
@@ -143,7 +154,7 @@
 
     #[test]
     fn every_query_ends_once_and_every_attempt_ends_once(
-        steps in prop::collection::vec((0u8..11, any::<u64>(), 1u64..400), 1..80),
+        steps in prop::collection::vec((0u8..12, any::<u64>(), 1u64..400), 1..80),
     ) {
         let (ends, standings) = ([End::Ok, End::Ok, End::Err, End::Busy], ["up", "draining", "removed"]);
         let mut bed = Bed::new(4);
@@ -157,6 +168,7 @@
                 (7, Some(link)) => bed.break_off(link),
                 (8, _) => bed.list(1 + dice % 4, standings[dice as usize / 4 % 3], bed.now),
                 (9, _) => bed.leave(dice),
+                (10, Some(link)) => bed.spoil(link, dice % 2 == 0),
                 _ => bed.pass(ms),
             }
         }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -880,8 +880,8 @@
     assert_eq!(finals(&after), ["refused"], "no holder");
 }
 
-/// Each part that crosses zones costs points, whatever the load: while there is time, a short queue at the near
-/// replica is better than crossing, and a long one is not.
+/// Each part that crosses zones costs points, whatever the load: while there is time, a short queue at the
+/// near replica is better than crossing, and a long one is not.
 #[test]
 fn a_replica_in_the_own_zone_is_preferred_while_its_queue_is_short() {
     let priced = Settings { zone: 1, zone_price: 0.04, call_parts: None, ..settings(vec![class(2000, 1.0)]) };
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -87,7 +87,8 @@
         while let Ok(Some(_)) = WatchCodec::default().decode(&mut buffer) {}
         let frame = [&(noise.len() as u32).to_be_bytes()[..], b"A", &noise].concat();
         let mut buffer = BytesMut::from(&frame[..]);
-        while let Ok(Some(_)) = LeafCodec.decode(&mut buffer) {}
+        let mut codec = LeafCodec::default();
+        while let Ok(Some(_)) = codec.decode(&mut buffer) {}
         let _ = discovery::line(&noise);
     }
 }
@@ -108,7 +109,12 @@
     assert_eq!(status(&post("/checkout", "", "{}")), 400);
     assert_eq!(status(&post("/checkout", "", &QUERY.replace(":3", ":9"))), 400);
     assert_eq!(status(&post("/checkout", "", &QUERY.replace(":3", ":2"))), 400);
-    assert_eq!(status(&post("/checkout", "", QUERY).replace("480m", "480")), 400);
+    for weight in ["0.6", "1.5", "-0.5", "1e999"] {
+        assert_eq!(status(&post("/checkout", "", &QUERY.replacen("0.5", weight, 1))), 400, "{weight}");
+    }
+    for timeout in ["480", "m", "-480m", "nanm", "infm", "4e3m", "0x1m", "1.2.3m"] {
+        assert_eq!(status(&post("/checkout", "", QUERY).replace("480m", timeout)), 400, "{timeout}");
+    }
     assert_eq!(status(&post("/checkout", "", QUERY).replace("9b1f", "9b 1f")), 400);
     assert_eq!(status(&post("/checkout", "", QUERY).replace("acme", "nobody")), 400);
     assert_eq!(status(&post("/checkout", "Content-Length: 3\r\n", QUERY)), 400);
@@ -152,20 +158,52 @@
     let part =
         |id: &str, shard| CallPart { id: id.into(), shard, wait_ms: 240, text: Bytes::from("c41e77d0") };
     let mut out = BytesMut::new();
-    LeafCodec.encode(ToLeaf::Call(vec![part("9b1f.3", 3), part("9b1f.9", 9)]), &mut out).unwrap();
+    let mut codec = LeafCodec::default();
+    codec.encode(ToLeaf::Call(vec![part("9b1f.3", 3), part("9b1f.9", 9)]), &mut out).unwrap();
     assert_eq!(&out[..], b"\0\0\0\x33Q9b1f.3 3 d=240 8\nc41e77d09b1f.9 9 d=240 8\nc41e77d0");
     out.clear();
-    LeafCodec.encode(ToLeaf::GiveUp("9b1f.3".into()), &mut out).unwrap();
+    codec.encode(ToLeaf::GiveUp("9b1f.3".into()), &mut out).unwrap();
     assert_eq!(&out[..], b"\0\0\0\x07X9b1f.3");
     let answers = b"\0\0\0\x16A9b1f.3 ok 1840 -\n5be2\0\0\0\x03Pok\0\0\0\x11A9b1f.9 busy 0 -\n";
     for sizes in [[1], [7], [100]] {
-        let found = feed(&mut LeafCodec, answers, &sizes);
+        let found = feed(&mut LeafCodec::default(), answers, &sizes);
         let (id, report, value) = ("9b1f.3".to_string(), "-".to_string(), Bytes::from("5be2"));
         assert_eq!(found[0], FromLeaf::Answer { id, end: End::Ok, report, value });
         assert_eq!(found[1], FromLeaf::Probed { ok: true, report: "ok".into() });
         assert!(matches!(&found[2], FromLeaf::Answer { end: End::Busy, .. }));
     }
-    assert!(LeafCodec.decode(&mut BytesMut::from(&b"\xff\xff\xff\xffA"[..])).is_err());
+}
+
+/// A frame with a length as it is.
+fn frame(text: &str) -> Vec<u8> {
+    [&(text.len() as u32).to_be_bytes()[..], text.as_bytes()].concat()
+}
+
+#[test]
+fn an_answer_counts_only_if_all_of_it_is_right() {
+    let read = |bytes: &[u8]| feed(&mut LeafCodec::default(), bytes, &[9]);
+    let spoilt = |id: Option<&str>| vec![FromLeaf::Spoilt(id.map(str::to_string))];
+    for text in [
+        "A9b1f.3  1840 -\n5be2",
+        "A9b1f.3 ? 1 -\n5be2",
+        "A9b1f.3 ok x -\n5be2",
+        "A9b1f.3 ok 1 -\n",
+        "A9b1f.3 ok 1840 -",
+        "A9b1f.3 ok 1\n5be2",
+    ] {
+        assert_eq!(read(&frame(text)), spoilt(Some("9b1f.3")), "{text}");
+    }
+    // A letter or length that no frame has is seen before the rest has come.
+    for start in ["\0\0\0\x36\x01", "\0\0\0\0A", "xxxx", "\x03\0\0\0A9", "\0\0\x10\0P"] {
+        assert_eq!(read(start.as_bytes()), spoilt(None), "{start:?}");
+    }
+    let noise = [frame("A9b1f.3 ok 1840 nan\n5be2"), b"\x8f\x9cx noise".to_vec(), frame("Pok")].concat();
+    let found = read(&noise);
+    assert!(matches!(&found[0], FromLeaf::Answer { end: End::Ok, report, .. } if report == "nan"));
+    assert_eq!(found[1..], spoilt(None), "nothing is read after it");
+    let mut codec = LeafCodec::default();
+    assert_eq!(codec.cut_short(b"\0\0\0\x36A9b1f.3 o"), spoilt(Some("9b1f.3"))[0]);
+    assert_eq!(codec.cut_short(b"\0\0\0\x36A9b1f"), spoilt(None)[0], "the id may go on");
 }
 
 #[test]
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -3,8 +3,9 @@
 mod bed;
 
 use bed::{Bed, MS, START};
+use cottonhill::protocol::http::Rejection;
 use cottonhill::protocol::leaf::{End, ToLeaf};
-use cottonhill::protocol::query::{Asked, Reply};
+use cottonhill::protocol::query::{Asked, AskedPart, Query, Reply};
 use cottonhill::routing::{Effect, Input};
 
 fn calls(bed: &Bed) -> Vec<(u64, String)> {
@@ -221,9 +222,104 @@
 fn many_idle_clients_at_once_each_make_room_for_one_more() {
     let mut bed = Bed::new(1);
     let opened = |client| bed.state.apply(START, Input::ClientOpened { client });
-    let closed: Vec<Effect> = (1..=420).flat_map(opened).collect();
-    let oldest: Vec<Effect> = (1..=11).map(|client| Effect::CloseClient { client }).collect();
-    assert_eq!(closed, oldest, "of 1,024 descriptors 409 are for clients");
+    let closed: Vec<Effect> = (1..=470).flat_map(opened).collect();
+    let oldest: Vec<Effect> = (1..=20).map(|client| Effect::CloseClient { client }).collect();
+    assert_eq!(
+        closed, oldest,
+        "of 1,024 descriptors 460 are for clients, and two go for each that is too many"
+    );
+}
+
+/// They come by hundreds and say nothing: the good clients' connections, though idle for longer, are left
+/// alone.
+#[test]
+fn who_never_asked_goes_first_when_there_is_no_room() {
+    let mut bed = Bed::new(1);
+    let good = bed.ask(1, &[1.0]);
+    bed.open_all();
+    bed.answer_all();
+    (0..2000).for_each(|_| {
+        bed.connect();
+    });
+    assert!(bed.closed.len() > 1500 && !bed.closed.contains(&good));
+}
+
+/// Some clients ask once and keep their connection for good.
+#[test]
+fn clients_idle_for_two_seconds_make_room_before_it_runs_out() {
+    let mut bed = Bed::new(1);
+    let ask_once = |bed: &mut Bed| {
+        let client = bed.ask(1, &[1.0]);
+        bed.open_all();
+        bed.answer_all();
+        client
+    };
+    let early: Vec<u64> = (0..300).map(|_| ask_once(&mut bed)).collect();
+    assert!(bed.closed.is_empty());
+    bed.pass(2000);
+    let late: Vec<u64> = (0..150).map(|_| ask_once(&mut bed)).collect();
+    assert!(early[..70].iter().all(|client| bed.closed.contains(client)), "down to half of the room");
+    assert!(!late.iter().any(|client| bed.closed.contains(client)));
+}
+
+#[test]
+fn a_second_query_under_the_id_of_an_open_one_is_turned_away() {
+    let mut bed = Bed::new(1);
+    let client = bed.ask(1, &[1.0]);
+    let other = bed.connect();
+    let ask_as = |bed: &mut Bed| {
+        let part = AskedPart { shard: 0, weight: 1.0, work: None };
+        let query = Query {
+            name: format!("q{client}"),
+            class: 1,
+            tenant: 0,
+            timeout: 5000 * MS,
+            repeat: false,
+            parts: vec![part],
+            text: Default::default(),
+        };
+        bed.put(Input::Asked { client: other, arrived: bed.now, asked: Ok(Asked::Query(query)) });
+        bed.reply(other).cloned()
+    };
+    assert!(matches!(ask_as(&mut bed), Some(Reply::Rejected(Rejection { status: 409, .. }))));
+    bed.open_all();
+    assert_eq!(calls(&bed).len(), 1, "its parts would have the same names");
+    bed.answer_all();
+    ask_as(&mut bed);
+    assert_eq!(calls(&bed).len(), 2, "the first is over");
+}
+
+#[test]
+fn a_spoilt_answer_fails_its_attempt_and_frees_the_others_at_once() {
+    for named in [true, false] {
+        let mut bed = Bed::new(2);
+        let client = bed.ask(1, &[0.25; 4]);
+        bed.open_all();
+        let link = *bed.out.iter().max_by_key(|(_, out)| out.len()).unwrap().0;
+        let there = bed.out[&link].len() as u64;
+        bed.spoil(link, named);
+        let ended = bed.state.counters().ended.clone();
+        assert_eq!((ended.error, ended.cancelled, ended.broken), (1, there - 1, 0));
+        assert!(!bed.links.contains_key(&link), "where its next frame begins is not known");
+        bed.open_all();
+        bed.answer_all();
+        assert!(matches!(bed.reply(client), Some(Reply::Answer { whole: true, .. })));
+        assert_eq!(bed.now, START, "nothing was waited for");
+    }
+}
+
+#[test]
+fn an_answer_for_nothing_that_is_out_is_spoilt_but_a_copy_is_not() {
+    let mut bed = Bed::new(1);
+    bed.ask(1, &[0.5, 0.5]);
+    bed.open_all();
+    let link = *bed.links.keys().next().unwrap();
+    bed.answer_to(link, "q1.1", End::Ok);
+    bed.answer_to(link, "q1.1", End::Ok);
+    assert_eq!(bed.state.counters().connections.spoilt, 0);
+    bed.answer_to(link, "q9.0", End::Ok);
+    assert_eq!(bed.state.counters().connections.spoilt, 1);
+    assert_eq!(bed.state.counters().ended.error, 1, "the one that was out has failed");
 }
 
 #[test]
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::time::{sleep, Duration, Instant};
 
 mod bed;
 
@@ -34,24 +35,34 @@
     }
 }
 
-/// A leaf server: answers each part with its own id as the value.
+/// A leaf server: answers each part with its own id as the value; on its first connection, one whose id
+/// begins with `cut` only to the middle.
 async fn leaf(listener: TcpListener) {
-    let (mut stream, _) = listener.accept().await.unwrap();
+    for first in [true].into_iter().chain(std::iter::repeat(false)) {
+        let (stream, _) = listener.accept().await.unwrap();
+        tokio::task::spawn_local(answer_parts(stream, first));
+    }
+}
+
+async fn answer_parts(mut stream: TcpStream, first: bool) {
     loop {
-        let length = stream.read_u32().await.unwrap();
+        let Ok(length) = stream.read_u32().await else { return };
         let mut frame = vec![0; length as usize];
         stream.read_exact(&mut frame).await.unwrap();
         let text = String::from_utf8(frame).unwrap();
         let id = text[1..].split(' ').next().unwrap().to_string();
         let answer = format!("A{id} ok 1 -\n{id}");
         stream.write_u32(answer.len() as u32).await.unwrap();
-        stream.write_all(answer.as_bytes()).await.unwrap();
+        let cut = if first && id.starts_with("cut") { answer.len() / 2 } else { answer.len() };
+        stream.write_all(&answer.as_bytes()[..cut]).await.unwrap();
     }
 }
 
-/// Runs `client` against a mixer at its address.
+/// Runs `client` against a mixer at its address. The clock stands still while anyone has something to do,
+/// and else goes on to the next timer: nothing is waited for in real time.
 fn against<F: Future<Output = ()>>(client: impl FnOnce(SocketAddr) -> F) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = runtime.enable_all().start_paused(true).build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let (discovery_at, leaf_at, mixer_at) = (listener().await, listener().await, listener().await);
         tokio::task::spawn_local(discovery(discovery_at.0, leaf_at.1));
@@ -104,7 +115,7 @@
         if answer(&mut stream).await.0.starts_with("HTTP/1.1 200") {
             return;
         }
-        tokio::task::yield_now().await;
+        sleep(Duration::from_millis(1)).await;
     }
 }
 
@@ -156,3 +167,48 @@
         assert_eq!((&stats["taken"]["queries"], &stats["taken"]["rejected"]), (&1.into(), &1.into()));
     });
 }
+
+#[test]
+fn who_says_nothing_or_never_ends_a_request_is_told_or_closed_in_time() {
+    against(|at| async move {
+        ready(at).await;
+        let begun = Instant::now();
+        let mut silent = TcpStream::connect(at).await.unwrap();
+        assert_eq!(silent.read(&mut [0]).await.unwrap(), 0);
+        assert!((2000..2500).contains(&begun.elapsed().as_millis()), "{:?}", begun.elapsed());
+        // No byte buys more time, on a new connection or on one that was served before.
+        let begun = Instant::now();
+        let mut stream = TcpStream::connect(at).await.unwrap();
+        stream.write_all(query("slow", "").as_bytes()).await.unwrap();
+        assert!(answer(&mut stream).await.0.starts_with("HTTP/1.1 200"));
+        let (mut reading, mut writing) = stream.into_split();
+        let slow = async {
+            for byte in b"POST /lookup HTTP/1.1\r\nContent-Length: 900\r\n\r\n".iter().chain(&[b'{'; 900]) {
+                sleep(Duration::from_millis(200)).await;
+                if writing.write_all(&[*byte]).await.is_err() {
+                    break;
+                }
+            }
+        };
+        let mut told = [0; 12];
+        tokio::select! {
+            read = reading.read_exact(&mut told) => drop(read.unwrap()),
+            () = slow => panic!("never told"),
+        }
+        assert_eq!(&told, b"HTTP/1.1 408");
+        assert!((2000..3000).contains(&begun.elapsed().as_millis()), "{:?}", begun.elapsed());
+    });
+}
+
+#[test]
+fn half_an_answer_is_not_waited_for() {
+    against(|at| async move {
+        ready(at).await;
+        let begun = Instant::now();
+        let mut stream = TcpStream::connect(at).await.unwrap();
+        stream.write_all(query("cut1", "").as_bytes()).await.unwrap();
+        let found = answer(&mut stream).await;
+        assert!(found.1.contains("\"doc\":\"cut1.3\""), "{found:?}");
+        assert!(begun.elapsed().as_millis() < 300, "{:?}", begun.elapsed());
+    });
+}
