Forget replicas that are gone, in the reducer and the module; one idle alarm a connection

Seen: every replica id stayed known for good in routing::Replicas and in the module (which goes through all of them for each choice), and each time a connection fell idle another alarm was set, to ring 27 s later. Now the reducer drops a gone replica at the next list once it has no connections (numbers are never given twice), the module once nothing is out there and what was learned has faded, and a connection has one idle alarm, which goes with it. tests/reducer.rs: 400 replicas, clients and queries of new names hold no more than the first 100 did.

Part.choice's look-up of a replica that may be forgotten no longer indexes.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -106,7 +106,7 @@
     sends: VecDeque<Nanos>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Attempt {
     replica: ReplicaId,
     sent: Nanos,
@@ -208,6 +208,12 @@
         }
     }
 
+    /// How much is kept of queries, attempts and replicas.
+    pub fn held(&self) -> usize {
+        let open = self.queries.len() + self.groups.len() + self.owner.len() + self.flights.len();
+        open + self.taken.len() + self.patience.len() + self.replicas.len()
+    }
+
     /// Takes what happened at `now`, in order, and appends what to do about it to `actions`.
     pub fn handle(&mut self, now: Nanos, events: &[Event], actions: &mut Vec<Action>) {
         self.now = now;
@@ -270,8 +276,7 @@
 
     fn take_list(&mut self, kind: ListKind, members: &[Member]) {
         if kind == ListKind::Failed {
-            self.ask_later();
-            return;
+            return self.ask_later();
         }
         self.asks_failed = if kind == ListKind::Remembered { self.asks_failed } else { 0 };
         if kind != ListKind::Changes {
@@ -292,6 +297,10 @@
                 (replica.strikes, replica.suspected) = (0, false);
             }
         }
+        // One that is gone is forgotten with what was learned of it, or new names would add up for good.
+        let faded = self.now.saturating_sub((FADE_AIMS * self.shortest_aim()) as Nanos);
+        let needed = |r: &Replica| r.standing != Standing::Gone || !r.calls.is_empty();
+        self.replicas.retain(|_, r| needed(r) || r.learned > faded);
     }
 
     /// The list is one service for all: those that fail and ask again at once keep it so busy that most never
@@ -346,11 +355,8 @@
             *lead = if alike(*usual) { (*lead + 1).min(PATIENCE_VOTES) } else { *lead - 1 };
         }
         let first_try = self.settings.repeats_marked && !repeat;
-        if first_try || alike(*usual) || *lead == 0 {
-            0
-        } else {
-            kind.deadline.saturating_sub(patience)
-        }
+        let unspent = first_try || alike(*usual) || *lead == 0;
+        kind.deadline.saturating_sub(if unspent { kind.deadline } else { patience })
     }
 
     fn take_part(&mut self, id: RequestId, group: u32, shard: u32, weight: f64) -> Option<RequestId> {
@@ -423,8 +429,7 @@
         let Some(mut query) = self.queries.remove(&id) else { return };
         if query.step == 1 {
             if self.hopeless(&mut query) {
-                self.give_up(query, actions);
-                return;
+                return self.give_up(query, actions);
             }
             self.select(&mut query);
         }
@@ -558,7 +563,7 @@
             }
             let tried = part.attempts.iter().any(|a| a.replica == id) as u32;
             let rank = 2 * self.suspect(replica) as u32 + tried;
-            let price = if replica.zone == self.settings.zone { 0.0 } else { self.settings.zone_price };
+            let price = self.settings.zone_price * f64::from(u8::from(replica.zone != self.settings.zone));
             let queue = self.latency(replica) * f64::from(self.open_calls(replica) + 1);
             let score = queue + FAR * price * self.shortest_aim();
             let key = (rank, score, !replica.calls.contains_key(&self.now), random.u32(..));
@@ -642,8 +647,7 @@
         if number > 0 {
             self.extras.push_back(self.now);
         }
-        let attempt = Attempt { replica: id, sent: self.now, out: true, never_ran: false, broke: false };
-        part.attempts.push(attempt);
+        part.attempts.push(Attempt { replica: id, sent: self.now, out: true, ..Attempt::default() });
         let connection = self.connection(id, actions);
         self.flights.insert((part.id, number), (id, self.now, connection));
         let window = self.now.saturating_sub(self.settings.fall_time);
@@ -758,11 +762,12 @@
                 continue;
             };
             let age = (self.now - last.sent) as f64;
+            let unheard = self.replicas.get(&last.replica).is_none_or(|r| r.heard <= last.sent);
             if part.attempts.iter().all(|a| !a.out) {
                 if part.attempts.len() < 2 || age > WAIT_SHARES.0 * time {
                     self.send(query, i, actions);
                 }
-            } else if age > wait && (2 * landed >= count || self.replicas[&last.replica].heard <= last.sent) {
+            } else if age > wait && (2 * landed >= count || unheard) {
                 let better = self.choose(&query.parts[i]).is_some_and(|id| {
                     let other = &self.replicas[&id];
                     self.smoothed(other) * f64::from(self.open_calls(other) + 1) < age
@@ -917,16 +922,14 @@
         let late_earns = class.late_worth > class.partial_earns * landed / need;
         let end = if late_earns { last_call } else { self.step_end(&query) };
         if begun && enough && (whole || all_in || !waiting || self.now >= end) {
-            self.answer(query, whole, actions);
-            return;
+            return self.answer(query, whole, actions);
         }
         let useful = if class.late_worth > 0.0 { last_call } else { query.aim.saturating_sub(self.beat()) };
         let harm = Self::harmful(&query);
         let idle = query.parts.iter().flat_map(|p| &p.attempts).all(|a| !a.out);
         let lost = begun && (!waiting || landed + open.iter().sum::<f64>() + 1e-4 < least);
         if self.now >= useful.min(last_call) || lost || harm && idle {
-            self.give_up(query, actions);
-            return;
+            return self.give_up(query, actions);
         }
         if !harm || (self.now - query.step_began) as f64 > self.wait(self.shortest_aim()) {
             self.push_on(&mut query, actions);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -8,7 +8,7 @@
 pub type RequestId = u64;
 
 /// A server that holds shards, by whatever number its owner uses for it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ReplicaId(pub u64);
 
 /// What repeating a part of a class would do.
--- a/src/routing/link.rs
+++ b/src/routing/link.rs
@@ -57,8 +57,10 @@
     heard: Nanos,
     /// It swallowed an attempt: nothing new goes out on it until it is heard again.
     silent: bool,
-    /// Since when nothing is out or waiting.
+    /// Since when nothing is out or waiting, and when the alarm rings that looks at it: one at a time,
+    /// however often the connection falls idle.
     pub idle_since: Nanos,
+    pub idle_alarm: Option<Nanos>,
 }
 
 impl Link {
@@ -73,6 +75,7 @@
             heard: now,
             silent: false,
             idle_since: now,
+            idle_alarm: None,
         }
     }
 
--- a/src/routing/replicas.rs
+++ b/src/routing/replicas.rs
@@ -14,11 +14,13 @@
     pub links: Vec<LinkId>,
 }
 
-/// Every replica ever listed: one that has gone stays known under its number.
+/// The replicas listed, and those gone that still have connections. Each name has one number while it is
+/// known; no number is given twice.
 #[derive(Debug, Default)]
 pub struct Replicas {
     numbers: BTreeMap<String, ReplicaId>,
     known: BTreeMap<ReplicaId, Replica>,
+    last: u64,
     zones: Vec<String>,
     /// The version of the last list taken.
     pub index: u64,
@@ -40,6 +42,11 @@
         self.known.get_mut(&id)
     }
 
+    /// How many are known, those gone included.
+    pub fn known(&self) -> usize {
+        self.known.len()
+    }
+
     pub fn any_ready(&self) -> bool {
         self.known.values().any(|r| r.standing == Standing::Ready)
     }
@@ -47,6 +54,10 @@
     /// Takes a list over. Returns its lines for the module and the replicas that may get nothing new now.
     pub fn take(&mut self, listing: &Listing) -> (ListKind, Vec<Member>, Vec<ReplicaId>) {
         self.index = listing.index;
+        // Those gone for longer than since the last list have nothing left to end.
+        self.known.retain(|_, r| r.standing != Standing::Gone || !r.links.is_empty());
+        let known = &self.known;
+        self.numbers.retain(|_, id| known.contains_key(id));
         let members: Vec<Member> = listing.endpoints.iter().filter_map(|e| self.member(e)).collect();
         let mut stopped = Vec::new();
         if listing.snapshot {
@@ -78,8 +89,10 @@
             );
             return None;
         };
-        let next = ReplicaId(self.numbers.len() as u64 + 1);
-        let id = *self.numbers.entry(endpoint.name.clone()).or_insert(next);
+        let id = *self.numbers.entry(endpoint.name.clone()).or_insert_with(|| {
+            self.last += 1;
+            ReplicaId(self.last)
+        });
         let replica = self.known.entry(id).or_insert(Replica { address, standing, links: Vec::new() });
         if replica.address != address {
             // It has moved: its old connections lead elsewhere and only end what is out on them.
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -184,6 +184,13 @@
         self.alarms.first().map(|(at, _)| *at)
     }
 
+    /// What is held, in things of every kind: flat while the load is, whatever names come and go.
+    pub fn held(&self) -> usize {
+        let open = self.queries.len() + self.parts.len() + self.names.len() + self.attempts.len();
+        let sockets = self.clients.len() + self.links.len() + self.probes.len();
+        open + sockets + self.alarms.len() + self.replicas.known() + self.module.held()
+    }
+
     pub fn counters(&self) -> &Counters {
         &self.counters
     }
@@ -465,6 +472,9 @@
 
     fn link_ended(&mut self, now: Nanos, link: LinkId) {
         let Some((id, it)) = self.links.remove(&link) else { return };
+        if let Some(at) = it.idle_alarm {
+            self.alarms.remove(&(at, Alarm::Idle(link)));
+        }
         if let Some(replica) = self.replicas.get_mut(id) {
             replica.links.retain(|other| *other != link);
         }
@@ -622,8 +632,11 @@
                 if standing != Some(Standing::Ready) {
                     self.close_link(now, link);
                 } else {
-                    let limit = self.site.idle_time / 10 * IDLE_TENTHS;
-                    self.alarms.insert((now + limit, Alarm::Idle(link)));
+                    let due = now + self.site.idle_time / 10 * IDLE_TENTHS;
+                    if it.idle_alarm.is_none() {
+                        it.idle_alarm = Some(due);
+                        self.alarms.insert((due, Alarm::Idle(link)));
+                    }
                 }
             }
         }
@@ -710,9 +723,14 @@
                 }
             }
             Alarm::Idle(link) => {
-                let limit = self.site.idle_time / 10 * IDLE_TENTHS;
-                let idle = |it: &Link| it.is_idle() && now.saturating_sub(it.idle_since) >= limit;
-                if self.links.get(&link).is_some_and(|(_, it)| idle(it)) {
+                let Some((_, it)) = self.links.get_mut(&link) else { return };
+                let due = it.idle_since + self.site.idle_time / 10 * IDLE_TENTHS;
+                if !it.is_idle() {
+                    it.idle_alarm = None;
+                } else if due > now {
+                    it.idle_alarm = Some(due);
+                    self.alarms.insert((due, Alarm::Idle(link)));
+                } else {
                     self.counters.connections.idle += 1;
                     self.close_link(now, link);
                 }
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -45,7 +45,7 @@
 }
 
 pub fn address(replica: u64) -> String {
-    format!("127.0.0.{replica}:7070")
+    format!("127.0.{}.{}:7070", replica / 256, replica % 256)
 }
 
 fn listing(index: u64, snapshot: bool, lines: &[(u64, &str, u64)]) -> Listing {
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -322,6 +322,29 @@
     assert_eq!(bed.state.counters().ended.error, 1, "the one that was out has failed");
 }
 
+/// Replicas, clients and queries of ever new names, all day long.
+#[test]
+fn what_is_held_does_not_grow_with_the_names_that_came_and_went() {
+    let mut bed = Bed::new(1);
+    let (mut held, mut replica) = (Vec::new(), 1);
+    for _ in 0..4 {
+        for _ in 0..100 {
+            replica += 1;
+            bed.list(replica, "up", 0);
+            bed.list(replica - 1, "removed", 0);
+            let client = bed.ask(1, &[0.5, 0.5]);
+            bed.open_all();
+            bed.answer_all();
+            bed.pass(150);
+            bed.left.insert(client);
+            bed.put(Input::ClientClosed { client });
+        }
+        held.push(bed.state.held());
+    }
+    assert!(held[1..].iter().all(|now| *now <= held[0] + 5), "{held:?}");
+    assert_eq!(bed.state.counters().answered.whole, 400);
+}
+
 #[test]
 fn told_to_end_it_serves_on_then_closes_between_requests_and_finishes_what_it_took() {
     let mut bed = Bed::new(1);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -63,7 +63,8 @@
     run(false, client);
 }
 
-/// The same on a clock that stands still while anyone has something to do, and else goes on to the next timer.
+/// The same on a clock that stands still while anyone has something to do, and else goes on to the next
+/// timer.
 fn against_at_once<F: Future<Output = ()>>(client: impl FnOnce(SocketAddr) -> F) {
     run(true, client);
 }
