--- a/src/bin/cottonhill-benchlink/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -3,7 +3,8 @@
 
 mod wire;
 
-use cottonhill::{settings, Coordinator};
+use cottonhill_decisions::Coordinator;
+use cottonhill_mixer::settings;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
--- a/src/bin/cottonhill-benchlink/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -1,6 +1,6 @@
 //! The layout of batches and replies, byte by byte.
 
-use cottonhill::interface::*;
+use cottonhill_decisions::interface::*;
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read};
 
--- /dev/null
+++ b/crates/cottonhill/src/program.rs
@@ -0,0 +1,124 @@
+//! Start and end of the mixer.
+
+use crate::logs::Logs;
+use crate::output::{Done, Failure};
+use crate::recorder::UsageLogRecorder;
+use crate::{settings, Files};
+use cottonhill_ini::Settings;
+use cottonhill_ledger::settings::UsageLog;
+use cottonhill_ledger::writer;
+use cottonhill_mixer::config::Config;
+use cottonhill_mixer::routing::State;
+use cottonhill_mixer::transport::{self, Addresses, Clock, Told};
+use std::path::Path;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
+
+/// Runs the mixer until it is told to end.
+pub fn run(files: &Files) -> Done {
+    let path = files.config.as_ref();
+    let path = path.ok_or_else(|| {
+        Failure::configuration("no configuration: --config or BALANCER_CONFIG has to name it")
+    })?;
+    let config = read(path)?;
+    let own = settings::read(files)?;
+    let usage = UsageLog::read(&own, &settings::SCHEMA).map_err(Failure::configuration)?;
+    let logs = Logs::start(&own)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| Failure::running(format!("no runtime: {e}")))?;
+    let running = Running { files: files.clone(), config, own, logs };
+    tokio::task::LocalSet::new().block_on(&runtime, serve(running, usage))
+}
+
+/// Reads the platform's configuration of a mixer.
+pub fn read(path: &Path) -> Result<Config, Failure> {
+    let shown = path.display();
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| Failure::configuration(format!("cannot read the configuration {shown}: {e}")))?;
+    Config::read(&text).map_err(|e| Failure::configuration(format!("{shown}: {e}")))
+}
+
+/// What a running mixer was started with.
+struct Running {
+    files: Files,
+    config: Config,
+    own: Settings,
+    logs: Logs,
+}
+
+impl Running {
+    /// Reads both files again. Of a file that does not do, nothing is taken: the old one stays in force.
+    fn reload(&self) -> Option<Addresses> {
+        match settings::read(&self.files).and_then(|own| self.logs.reload(&own).map(|()| own)) {
+            Ok(own) => {
+                let restart = self.own.needs_restart(&own, &settings::SCHEMA).join(", ");
+                if !restart.is_empty() {
+                    tracing::warn!(restart, "changed in the settings, but only a restart takes it up");
+                }
+            }
+            Err(Failure { message, .. }) => tracing::error!("the settings stay as they were: {message}"),
+        }
+        let path = self.files.config.as_ref()?;
+        match read(path) {
+            Ok(next) => {
+                let restart = self.config.needs_restart(&next).join(", ");
+                if !restart.is_empty() {
+                    tracing::warn!(restart, "changed in the configuration, but only a restart takes it up");
+                }
+                tracing::info!(discovery = %next.addresses.discovery, "configuration read again");
+                Some(next.addresses)
+            }
+            Err(Failure { message, .. }) => {
+                tracing::error!("the configuration stays as it was: {message}");
+                None
+            }
+        }
+    }
+}
+
+async fn serve(running: Running, usage: Option<UsageLog>) -> Done {
+    let (tell, told) = mpsc::channel(1);
+    let Config { name, listen, site, settings, seed, descriptors, known, addresses, names } =
+        running.config.clone();
+    let running = Rc::new(running);
+    // A planned end, by the platform or by whoever has it in a terminal; and a new configuration.
+    for kind in [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()] {
+        let mut signals = signal(kind).map_err(|e| Failure::running(format!("no signals: {e}")))?;
+        let (tell, running) = (tell.clone(), running.clone());
+        tokio::task::spawn_local(async move {
+            while signals.recv().await.is_some() {
+                let what = if kind == SignalKind::hangup() {
+                    Told::Reload(running.reload())
+                } else {
+                    tracing::info!("told to end");
+                    Told::End
+                };
+                let _ = tell.send(what).await;
+            }
+        });
+    }
+    tracing::info!(name, %listen, known = known.endpoints.len(), open_cap = site.open_cap, "starting");
+    let clock = Clock::start();
+    let recorder = match &usage {
+        Some(usage) => {
+            let (classes, give_up, tenants) =
+                (site.classes.clone(), site.deadlines.clone(), site.tenants.clone());
+            let names = writer::Names { mixer: name.clone(), classes, give_up, tenants };
+            let writer = writer::start(usage, names, clock.now());
+            Some(writer.map_err(|e| Failure::running(format!("usage log: {e}")))?)
+        }
+        None => None,
+    };
+    let mut state = State::new(clock.now(), site, settings, seed, &known, descriptors);
+    if let Some(usage) = &usage {
+        state.record_usage(usage.mark.as_nanos() as u64);
+    }
+    let listener = TcpListener::bind(listen).await;
+    let listener = listener.map_err(|e| Failure::running(format!("cannot listen on {listen}: {e}")))?;
+    let recorder =
+        recorder.map(|recorder| Box::new(UsageLogRecorder(recorder)) as Box<dyn transport::Recorder>);
+    let served = transport::serve(state, clock, names, listener, addresses, told, recorder).await;
+    served.map_err(|e| Failure::running(format!("cannot listen for other mixers: {e}")))
+}
--- a/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -1,8 +1,8 @@
 //! The decision module with hand-made events: the design's ordinary path, the six rules, and one test for
 //! each failure found, named for the danger.
 
-use cottonhill::interface::*;
-use cottonhill::Coordinator;
+use cottonhill_decisions::interface::*;
+use cottonhill_decisions::Coordinator;
 
 const MS: u64 = 1_000_000;
 const START: u64 = 100_000 * MS;
--- /dev/null
+++ b/crates/ledger/build.rs
@@ -0,0 +1,8 @@
+//! Makes the code for `proto/usage.proto`, without a compiler of its own on the machine.
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    println!("cargo:rerun-if-changed=proto/usage.proto");
+    let files = protox::compile(["usage.proto"], ["proto"])?;
+    tonic_prost_build::configure().compile_fds(files)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/mixer/src/lib.rs
@@ -0,0 +1,10 @@
+//! The mixer around the decisions: its configuration and settings, the protocols that it speaks, the reducer that
+//! holds all its state, and the sockets.
+
+pub mod config;
+pub mod protocol;
+pub mod routing;
+pub mod settings;
+pub mod transport;
+
+pub use cottonhill_decisions::{interface, Coordinator};
--- a/src/protocol/query.rs
+++ b/crates/mixer/src/protocol/query.rs
@@ -34,6 +34,8 @@
     /// How long the client waits, from the moment it sent the query.
     pub timeout: Nanos,
     pub repeat: bool,
+    /// The client's own name for a use, the same on each of its tries.
+    pub idempotency_key: Option<String>,
     pub parts: Vec<AskedPart>,
     pub text: Bytes,
 }
@@ -118,6 +120,12 @@
         None if !names.tenants.is_empty() => return Err(bad("X-Tenant-Id is missing")),
         _ => 0,
     };
+    let idempotency_key = match request.header("idempotency-key") {
+        Some(key) if key.is_empty() || key.len() > MOST_KEY => {
+            return Err(bad("Idempotency-Key is empty or too long"))
+        }
+        key => key.map(str::to_string),
+    };
     let body: Body = serde_json::from_slice(&request.body).map_err(|_| bad("body is not a query"))?;
     Ok(Asked::Query(Query {
         name: name.to_string(),
@@ -125,11 +133,15 @@
         tenant: tenant as u32,
         timeout,
         repeat: request.header("x-retried") == Some("1"),
+        idempotency_key,
         parts: parts(body.shards, names.shards)?,
         text: Bytes::from(body.q),
     }))
 }
 
+/// Bytes that an `Idempotency-Key` may have.
+const MOST_KEY: usize = 128;
+
 /// How far the weights of a query may be off a sum of 1: they are rounded, each by a little.
 const ROUNDING: f64 = 0.01;
 
--- a/src/routing/counters.rs
+++ b/crates/mixer/src/routing/counters.rs
@@ -10,6 +10,8 @@
     pub answered: Answered,
     pub connections: Connections,
     pub lists: u64,
+    /// Records of use handed on; 0 where none are kept.
+    pub recorded: u64,
     pub reloads: Reloads,
     /// What must never happen; each is logged with its cause.
     pub faults: Faults,
--- a/src/routing/messages.rs
+++ b/crates/mixer/src/routing/messages.rs
@@ -1,6 +1,7 @@
 //! What goes into the reducer and what it asks for.
 
 use super::counters::Counters;
+use super::usage::{Mark, Usage};
 use crate::interface::Nanos;
 use crate::protocol::discovery::Listing;
 use crate::protocol::http::Rejection;
@@ -88,5 +89,9 @@
         from: u64,
     },
     StopListening,
+    /// One query has ended; comes before its reply, which waits for the record.
+    Record(Usage),
+    /// The log of use is complete up to here.
+    Mark(Mark),
     Exit(Box<Counters>),
 }
--- a/src/routing/mod.rs
+++ b/crates/mixer/src/routing/mod.rs
@@ -6,6 +6,7 @@
 pub mod messages;
 mod replicas;
 mod state;
+pub mod usage;
 
 pub use messages::{ClientId, Effect, Input, LinkId};
 pub use state::State;
--- a/src/routing/replicas.rs
+++ b/crates/mixer/src/routing/replicas.rs
@@ -9,6 +9,7 @@
 #[derive(Debug)]
 pub struct Replica {
     pub address: SocketAddr,
+    pub zone: u16,
     pub standing: Standing,
     /// Its connections, oldest first.
     pub links: Vec<LinkId>,
@@ -93,17 +94,18 @@
             self.last += 1;
             ReplicaId(self.last)
         });
-        let replica = self.known.entry(id).or_insert(Replica { address, standing, links: Vec::new() });
+        let zone = self.zones.iter().position(|zone| *zone == endpoint.zone);
+        let zone = zone.map_or(NO_ZONE, |zone| zone as u16);
+        let replica = self.known.entry(id).or_insert(Replica { address, zone, standing, links: Vec::new() });
         if replica.address != address {
             // It has moved: its old connections lead elsewhere and only end what is out on them.
             replica.links.clear();
         }
-        (replica.address, replica.standing) = (address, standing);
-        let zone = self.zones.iter().position(|zone| *zone == endpoint.zone);
+        (replica.address, replica.zone, replica.standing) = (address, zone, standing);
         Some(Member {
             replica: id,
             cell: endpoint.group,
-            zone: zone.map_or(NO_ZONE, |zone| zone as u16),
+            zone,
             started: endpoint.since_ms.saturating_mul(1_000_000),
             standing,
         })
--- /dev/null
+++ b/crates/mixer/src/routing/state/attempts.rs
@@ -0,0 +1,182 @@
+//! Attempts and probes, from the decision to the one end of each.
+
+use super::{Alarm, Attempt, Probe, State, IDLE_TENTHS, MS};
+use crate::interface::*;
+use crate::protocol::leaf::{CallPart, ToLeaf};
+use crate::routing::link::{AttemptId, Job};
+use crate::routing::messages::{Effect, LinkId};
+use std::rc::Rc;
+
+impl State {
+    pub(super) fn send(&mut self, now: Nanos, id: RequestId, replica: ReplicaId, until: Nanos) {
+        let Some(part) = self.parts.get_mut(&id) else {
+            self.counters.faults.stray += 1;
+            tracing::error!(id, "a send for a part that is over");
+            return;
+        };
+        let attempt = (id, part.attempts);
+        part.attempts = part.attempts.saturating_add(1);
+        let elsewhere = self.replicas.get(replica).is_some_and(|r| r.zone != self.site.zone);
+        part.crossed = part.crossed.saturating_add(u8::from(elsewhere));
+        let (wire, shard, text) = (part.wire.clone(), part.shard, part.text.clone());
+        let deadline = self.queries.get(&part.query).map_or(now, |query| query.deadline);
+        let until = if until == 0 { deadline } else { until.min(deadline) };
+        self.counters.sent.attempts += 1;
+        self.counters.sent.further_attempts += u64::from(attempt.1 > 0);
+        let ready = self.replicas.get(replica).is_some_and(|r| r.standing == Standing::Ready);
+        let allowed = usize::from(attempt.1) < self.site.max_attempts && until > now;
+        if !ready || !allowed {
+            return self.not_placed(attempt, replica, Outcome::NotSent);
+        }
+        let Some(link) = self.link_for(now, replica, &wire) else {
+            return self.not_placed(attempt, replica, Outcome::Unreachable);
+        };
+        if let Some((_, it)) = self.links.get_mut(&link) {
+            it.queue(attempt, wire, !self.joining.insert(link), self.site.call_parts);
+        }
+        self.pending.insert(link);
+        self.alarms.insert((until, Alarm::Attempt(attempt)));
+        self.attempts.insert(attempt, Attempt { replica, link, until, shard, text });
+    }
+
+    /// An attempt that found no connection; it ends like any other, or the module would wait for it.
+    pub(super) fn not_placed(&mut self, (part, attempt): AttemptId, replica: ReplicaId, outcome: Outcome) {
+        self.count(outcome);
+        self.events.push(Event::Ended { part, attempt, replica, outcome, report: LoadReport::new() });
+    }
+
+    /// The one end of an attempt that was placed.
+    pub(super) fn ended(&mut self, id: AttemptId, outcome: Outcome, report: LoadReport) {
+        let Some(attempt) = self.attempts.remove(&id) else { return };
+        self.alarms.remove(&(attempt.until, Alarm::Attempt(id)));
+        self.count(outcome);
+        let (replica, (part, attempt)) = (attempt.replica, id);
+        self.events.push(Event::Ended { part, attempt, replica, outcome, report });
+    }
+
+    pub(super) fn count(&mut self, outcome: Outcome) {
+        let ended = &mut self.counters.ended;
+        *match outcome {
+            Outcome::Ok => &mut ended.ok,
+            Outcome::Error => &mut ended.error,
+            Outcome::Refused => &mut ended.refused,
+            Outcome::TimedOut => &mut ended.timed_out,
+            Outcome::Unreachable => &mut ended.unreachable,
+            Outcome::Broken => &mut ended.broken,
+            Outcome::Cancelled => &mut ended.cancelled,
+            Outcome::NotSent => &mut ended.not_sent,
+        } += 1;
+    }
+
+    /// Ends an attempt from our side. One that never went out is known not to have run.
+    pub(super) fn end_attempt(&mut self, now: Nanos, id: AttemptId, outcome: Outcome) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        let link = attempt.link;
+        let mut outcome = outcome;
+        if let Some((_, it)) = self.links.get_mut(&link) {
+            let before = it.is_silent();
+            let went_out = it.drop_attempt(id, now, 2 * self.site.connect_timeout);
+            if !went_out && outcome == Outcome::TimedOut {
+                outcome = Outcome::NotSent;
+            }
+            self.counters.connections.silent += u64::from(it.is_silent() && !before);
+        }
+        self.pending.insert(link);
+        self.ended(id, outcome, LoadReport::new());
+    }
+
+    /// What has waited past its time must not go out, though its alarm has yet to ring: the socket may be
+    /// free for it a moment before the turn.
+    pub(super) fn drop_expired(&mut self, now: Nanos, link: LinkId) {
+        let unsent = self.links.get(&link).map(|(_, it)| it.unsent()).unwrap_or_default();
+        for id in unsent {
+            if self.attempts.get(&id).is_some_and(|attempt| attempt.until <= now) {
+                self.end_attempt(now, id, Outcome::TimedOut);
+            }
+        }
+    }
+
+    /// Hands each connection with work its next frame, and closes those that have none and no future.
+    pub(super) fn pump(&mut self, now: Nanos) {
+        while let Some(link) = self.pending.pop_first() {
+            self.drop_expired(now, link);
+            let Some((id, it)) = self.links.get_mut(&link) else { continue };
+            let id = *id;
+            if it.is_spent() {
+                self.close_link(now, link);
+            } else if let Some(job) = it.take_next(now) {
+                match self.frame(now, job) {
+                    Some(frame) => self.effects.push(Effect::Write { link, frame }),
+                    // Nothing was left of it: as if it were written, and on to the next.
+                    None => {
+                        if let Some((_, it)) = self.links.get_mut(&link) {
+                            it.wrote();
+                        }
+                        self.pending.insert(link);
+                    }
+                }
+            } else if it.is_idle() {
+                it.idle_since = now;
+                let standing = self.replicas.get(id).map(|r| r.standing);
+                if standing != Some(Standing::Ready) {
+                    self.close_link(now, link);
+                } else {
+                    let due = now + self.site.idle_time / 10 * IDLE_TENTHS;
+                    if it.idle_alarm.is_none() {
+                        it.idle_alarm = Some(due);
+                        self.alarms.insert((due, Alarm::Idle(link)));
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn frame(&mut self, now: Nanos, job: Job) -> Option<ToLeaf> {
+        match job {
+            Job::Call(call) => {
+                let part = |(id, wire): (AttemptId, Rc<str>)| {
+                    let Attempt { until, shard, text, .. } = self.attempts.get(&id)?;
+                    let wait_ms = until.saturating_sub(now).div_ceil(MS);
+                    Some(CallPart { id: wire, shard: *shard, wait_ms, text: text.clone() })
+                };
+                let parts: Vec<CallPart> = call.into_iter().filter_map(part).collect();
+                self.counters.sent.calls += u64::from(!parts.is_empty());
+                (!parts.is_empty()).then_some(ToLeaf::Call(parts))
+            }
+            Job::GiveUp(wire) => {
+                self.counters.sent.give_ups += 1;
+                Some(ToLeaf::GiveUp(wire))
+            }
+            Job::Probe(_) => {
+                self.counters.sent.probes += 1;
+                Some(if self.site.report.is_empty() { ToLeaf::Probe } else { ToLeaf::ProbeLoad })
+            }
+        }
+    }
+
+    pub(super) fn probe(&mut self, now: Nanos, replica: ReplicaId) {
+        let listed = self.replicas.get(replica).is_some_and(|r| r.standing != Standing::Gone);
+        let link = if listed && self.site.may_probe { self.link_for(now, replica, "") } else { None };
+        let Some(link) = link else {
+            let (outcome, report) = (Outcome::NotSent, LoadReport::new());
+            return self.events.push(Event::Probed { replica, outcome, latency: 0, report });
+        };
+        let probe = self.id();
+        if let Some((_, it)) = self.links.get_mut(&link) {
+            it.queue_probe(probe);
+        }
+        self.pending.insert(link);
+        self.alarms.insert((now + self.site.connect_timeout, Alarm::Probe(probe)));
+        self.probes.insert(probe, Probe { replica, link, asked: now });
+    }
+
+    pub(super) fn probe_ended(&mut self, now: Nanos, probe: u64, outcome: Outcome, report: &str) {
+        let Some(Probe { replica, link, asked }) = self.probes.remove(&probe) else { return };
+        self.alarms.remove(&(asked + self.site.connect_timeout, Alarm::Probe(probe)));
+        if let Some((_, it)) = self.links.get_mut(&link) {
+            it.drop_probe(probe);
+        }
+        let report = self.report(report);
+        self.events.push(Event::Probed { replica, outcome, latency: now.saturating_sub(asked), report });
+    }
+}
--- /dev/null
+++ b/crates/mixer/src/routing/state/clients.rs
@@ -0,0 +1,157 @@
+//! Clients: their connections, what they ask, and the replies.
+
+use super::{Alarm, Client, Part, Query, State, CLIENT_IDLE, CLOSED_AT_ONCE, MARGIN, MS};
+use crate::interface::{Event, Nanos, RequestId};
+use crate::protocol::http::Rejection;
+use crate::protocol::query::{Asked, Query as AskedQuery, Reply};
+use crate::routing::messages::{ClientId, Effect};
+use crate::routing::usage::Outcome;
+use std::rc::Rc;
+
+impl State {
+    pub(super) fn client_opened(&mut self, now: Nanos, client: ClientId) {
+        self.counters.connections.clients += 1;
+        self.clients.insert(client, Client { since: now, ..Client::default() });
+        if self.closing {
+            // Accepted as the listener went: without a request on it, it would hold up the end.
+            self.effects.push(Effect::CloseClient { client });
+        } else if self.clients.len() > self.most_clients / 2 {
+            self.make_room(now, client);
+        }
+    }
+
+    /// Closes the clients that need their connection least: those that never sent a query that could be
+    /// used, then those that have been idle for longest. Each is asked once: many may come before the first
+    /// one asked has gone.
+    pub(super) fn make_room(&mut self, now: Nanos, newest: ClientId) {
+        let full = self.clients.len() > self.most_clients;
+        let spare = |c: &Client| c.known && now.saturating_sub(c.since) >= CLIENT_IDLE;
+        let idle = |id: &ClientId, c: &Client| c.query.is_none() && !c.closing && *id != newest;
+        let idle = self.clients.iter().filter(|(id, c)| idle(id, c) && (full || spare(c)));
+        let mut idle: Vec<_> = idle.map(|(id, c)| (c.known, c.since, *id)).collect();
+        idle.sort_unstable();
+        for (_, _, client) in idle.into_iter().take(CLOSED_AT_ONCE) {
+            if let Some(state) = self.clients.get_mut(&client) {
+                state.closing = true;
+                self.effects.push(Effect::CloseClient { client });
+            }
+        }
+    }
+
+    pub(super) fn asked(
+        &mut self, now: Nanos, client: ClientId, arrived: Nanos, asked: Result<Asked, Rejection>,
+    ) {
+        match asked {
+            Ok(Asked::Query(query)) => self.take_query(now, client, arrived, query),
+            Ok(Asked::Ready) => {
+                let ready = self.listed && self.terminated.is_none();
+                self.reply(now, client, Reply::Ready(ready));
+            }
+            Ok(Asked::Stats) => {
+                let text = serde_json::to_vec_pretty(&self.counters).unwrap_or_default();
+                self.reply(now, client, Reply::Stats(text));
+            }
+            Err(rejection) => {
+                self.counters.taken.rejected += 1;
+                // Some clients send nothing else, as fast as they can: the log would be theirs.
+                tracing::debug!(client, status = rejection.status, why = rejection.why, "request rejected");
+                self.reply(now, client, Reply::Rejected(rejection));
+            }
+        }
+    }
+
+    pub(super) fn take_query(&mut self, now: Nanos, client: ClientId, arrived: Nanos, asked: AskedQuery) {
+        if !self.clients.contains_key(&client) {
+            return;
+        }
+        // Its parts would have the names that the open one's have at the leaf servers.
+        if self.names.contains(&*asked.name) {
+            let rejection = Rejection { status: 409, why: "X-Request-ID is that of an open query" };
+            return self.asked(now, client, arrived, Err(rejection));
+        }
+        // A part that is in is not open any more: counting it would refuse queries that there is room for.
+        let open_parts = self.parts.values().filter(|part| part.value.is_none()).count();
+        if self.queries.len() + open_parts >= self.site.open_cap {
+            self.counters.taken.over_cap += 1;
+            tracing::info!(queries = self.queries.len(), open_parts, "over the cap: query refused");
+            self.turned_away(arrived, &asked);
+            let come_back = Some(self.site.come_back);
+            self.reply(now, client, Reply::Refused { come_back });
+            return;
+        }
+        let spent = now.saturating_sub(arrived) + MARGIN;
+        let mut patience = asked.timeout.saturating_sub(spent);
+        if let Some(at) = self.terminated {
+            // What comes during the grace must be over before a kill can follow.
+            let end = at + self.site.deadlines.iter().max().copied().unwrap_or_default();
+            patience = patience.min(end.saturating_sub(now));
+        }
+        if patience == 0 {
+            self.counters.taken.too_late += 1;
+            tracing::info!(timeout_ms = asked.timeout / MS, "no time left: query refused");
+            self.turned_away(arrived, &asked);
+            return self.reply(now, client, Reply::Refused { come_back: Some(self.site.come_back) });
+        }
+        let id = self.id();
+        self.last_group = self.last_group.wrapping_add(1);
+        let group = self.last_group;
+        if let Some(client) = self.clients.get_mut(&client) {
+            (client.query, client.known) = (Some(id), true);
+        }
+        let work = asked.parts.iter().map(|p| p.work).sum();
+        let (class, tenant) = (asked.class, asked.tenant);
+        self.events.push(Event::Query { id, group, class, tenant, patience, work, repeat: asked.repeat });
+        let mut parts = Vec::with_capacity(asked.parts.len());
+        for part in &asked.parts {
+            let (part_id, shard, weight) = (self.id(), part.shard, part.weight);
+            let wire: Rc<str> = format!("{}.{shard}", asked.name).into();
+            let text = asked.text.clone();
+            let new = Part { query: id, shard, weight, wire, text, attempts: 0, crossed: 0, value: None };
+            self.parts.insert(part_id, new);
+            self.events.push(Event::Part { id: part_id, group, shard, weight });
+            parts.push(part_id);
+        }
+        self.counters.taken.queries += 1;
+        self.counters.taken.parts += parts.len() as u64;
+        self.counters.taken.repeats += u64::from(asked.repeat);
+        let deadline = now + patience;
+        self.alarms.insert((deadline, Alarm::LastMoment(id)));
+        let name: Rc<str> = asked.name.as_str().into();
+        self.names.insert(name.clone());
+        let (key, repeat) = (self.join_key(&asked), asked.repeat);
+        let arrived = self.note_open(id, arrived);
+        let class_at = usize::from(class);
+        let query = Query { name, client, class: class_at, deadline, parts, tenant, arrived, repeat, key };
+        self.queries.insert(id, query);
+        let patience_ms = patience / MS;
+        tracing::debug!(id, name = asked.name, class, patience_ms, open_parts, "query taken");
+    }
+
+    pub(super) fn client_closed(&mut self, client: ClientId) {
+        let Some(client) = self.clients.remove(&client) else { return };
+        if let Some(id) = client.query {
+            self.counters.answered.client_gone += 1;
+            self.events.push(Event::ClientGone { id });
+            if let Some((query, parts)) = self.end_query(id) {
+                self.record(&query, &parts, Outcome::Left);
+            }
+        }
+    }
+
+    pub(super) fn reply(&mut self, now: Nanos, client: ClientId, reply: Reply) {
+        let Some(state) = self.clients.get_mut(&client) else { return };
+        (state.query, state.since) = (None, now);
+        let close = self.closing || state.closing;
+        self.effects.push(Effect::Reply { client, reply, close });
+    }
+
+    /// Forgets a query and its parts; attempts still out end on their own.
+    pub(super) fn end_query(&mut self, id: RequestId) -> Option<(Query, Vec<Part>)> {
+        let query = self.queries.remove(&id)?;
+        self.alarms.remove(&(query.deadline, Alarm::LastMoment(id)));
+        self.names.remove(&query.name);
+        self.note_over(id, query.arrived);
+        let parts = query.parts.iter().filter_map(|part| self.parts.remove(part)).collect();
+        Some((query, parts))
+    }
+}
--- /dev/null
+++ b/crates/mixer/src/routing/state/links.rs
@@ -0,0 +1,151 @@
+//! Leaf servers: the list, the connections and what comes in on them.
+
+use super::{Alarm, State};
+use crate::interface::*;
+use crate::protocol::discovery::Listing;
+use crate::protocol::leaf::{End, FromLeaf};
+use crate::routing::link::{Answered, Link};
+use crate::routing::messages::{Effect, LinkId};
+use std::net::SocketAddr;
+
+impl State {
+    pub(super) fn take_list(&mut self, now: Nanos, listing: &Listing) {
+        self.counters.lists += 1;
+        let (kind, members, stopped) = self.replicas.take(listing);
+        self.listed |= self.replicas.any_ready();
+        self.events.push(Event::List { kind, members });
+        // What waits for a replica that drains or is gone never goes out: the rule counts its first byte.
+        for id in stopped {
+            let links = self.replicas.get(id).map(|r| r.links.clone()).unwrap_or_default();
+            for link in links {
+                let unsent = self.links.get(&link).map(|(_, it)| it.unsent()).unwrap_or_default();
+                for attempt in unsent {
+                    self.end_attempt(now, attempt, Outcome::NotSent);
+                }
+                self.pending.insert(link);
+            }
+        }
+    }
+
+    /// The list, its version, connections and queries stay; only where the list comes from changes. It is
+    /// asked for anew even at the same address: whoever reloads may want just that.
+    pub(super) fn reloaded(&mut self, discovery: Option<SocketAddr>) {
+        let Some(address) = discovery else {
+            self.counters.reloads.bad += 1;
+            return;
+        };
+        self.counters.reloads.taken += 1;
+        self.effects.push(Effect::Watch { address, from: self.replicas.index });
+    }
+
+    pub(super) fn heard(&mut self, now: Nanos, link: LinkId, frame: FromLeaf) {
+        let Some((_, it)) = self.links.get_mut(&link) else { return };
+        it.hear(now);
+        self.pending.insert(link);
+        match frame {
+            FromLeaf::Answer { id, end, report, value } => {
+                let attempt = match it.answered(&id) {
+                    Answered::Attempt(attempt) => attempt,
+                    Answered::Over => return,
+                    Answered::Unknown => return self.spoilt(now, link, None),
+                };
+                let outcome = match end {
+                    End::Ok => Outcome::Ok,
+                    End::Err => Outcome::Error,
+                    End::Busy => Outcome::Refused,
+                };
+                if let Some(part) = self.parts.get_mut(&attempt.0).filter(|_| outcome == Outcome::Ok) {
+                    // Checked to be text by the codec, so nothing is lost here.
+                    part.value.get_or_insert_with(|| String::from_utf8_lossy(&value).into_owned());
+                }
+                let report = self.report(&report);
+                self.ended(attempt, outcome, report);
+            }
+            FromLeaf::Probed { ok, report } => {
+                let Some(probe) = it.probed() else { return };
+                let outcome = if ok { Outcome::Ok } else { Outcome::Error };
+                self.probe_ended(now, probe, outcome, &report);
+            }
+            FromLeaf::Complaint(words) => tracing::warn!(link, words, "leaf server could not use a frame"),
+            FromLeaf::Spoilt(id) => self.spoilt(now, link, id.as_deref()),
+        }
+    }
+
+    /// A leaf server sent what can't be read. It is alive and ran what it answered: that attempt has
+    /// failed. The others out there wait for what will never come, so they are withdrawn with the
+    /// connection, at once.
+    pub(super) fn spoilt(&mut self, now: Nanos, link: LinkId, id: Option<&str>) {
+        let Some((replica, it)) = self.links.get_mut(&link) else { return };
+        self.counters.connections.spoilt += 1;
+        tracing::info!(link, replica = replica.0, id, "spoilt answer: its connection is closed");
+        let failed = it.spoilt(id);
+        let others = it.written();
+        if let Some(failed) = failed {
+            self.ended(failed, Outcome::Error, LoadReport::new());
+        }
+        for other in others.into_iter().filter(|other| Some(*other) != failed) {
+            self.ended(other, Outcome::Cancelled, LoadReport::new());
+        }
+        self.close_link(now, link);
+    }
+
+    /// The values of a report, in the order that the settings state; `-` or what lacks one is no report.
+    pub(super) fn report(&self, text: &str) -> LoadReport {
+        let value = |name: &String| {
+            let mut pairs = text.split([',', ';']).filter_map(|pair| pair.split_once('='));
+            pairs
+                .find(|(key, _)| key.trim() == name)
+                .and_then(|(_, v)| v.trim().parse().ok().filter(|v: &f32| v.is_finite()))
+        };
+        self.site.report.iter().map(value).collect::<Option<_>>().unwrap_or_default()
+    }
+
+    pub(super) fn link_ended(&mut self, now: Nanos, link: LinkId) {
+        let Some((id, it)) = self.links.remove(&link) else { return };
+        if let Some(at) = it.idle_alarm {
+            self.alarms.remove(&(at, Alarm::Idle(link)));
+        }
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.links.retain(|other| *other != link);
+        }
+        let (attempts, probes) = it.end();
+        for (attempt, may_have_run) in attempts {
+            let outcome = if may_have_run { Outcome::Broken } else { Outcome::Unreachable };
+            self.ended(attempt, outcome, LoadReport::new());
+        }
+        for probe in probes {
+            self.probe_ended(now, probe, Outcome::Unreachable, "");
+        }
+    }
+
+    /// Closes a connection of ours, for whatever is still on it as if it had broken.
+    pub(super) fn close_link(&mut self, now: Nanos, link: LinkId) {
+        self.effects.push(Effect::CloseLink { link });
+        self.link_ended(now, link);
+    }
+
+    pub(super) fn open_link(&mut self, now: Nanos, id: ReplicaId) -> Option<LinkId> {
+        if self.links.len() >= self.most_links {
+            return None;
+        }
+        let link = self.id();
+        let replica = self.replicas.get_mut(id)?;
+        replica.links.push(link);
+        self.effects.push(Effect::Connect { link, address: replica.address });
+        self.counters.connections.opened += 1;
+        self.links.insert(link, (id, Link::new(now)));
+        self.alarms.insert((now + self.site.connect_timeout, Alarm::Connect(link)));
+        Some(link)
+    }
+
+    /// A connection with room, the oldest first so that few stay in use; a new one where none has any.
+    pub(super) fn link_for(&mut self, now: Nanos, id: ReplicaId, wire: &str) -> Option<LinkId> {
+        let replica = self.replicas.get(id)?;
+        let fits =
+            |link: &&LinkId| self.links.get(link).is_some_and(|(_, it)| it.has_room(self.site.streams, wire));
+        match replica.links.iter().find(fits) {
+            Some(link) => Some(*link),
+            None => self.open_link(now, id),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mixer/src/routing/state/mod.rs
@@ -0,0 +1,257 @@
+//! The one state and its changes.
+
+mod attempts;
+mod clients;
+mod links;
+mod turns;
+mod usage;
+
+use super::counters::Counters;
+use super::link::{AttemptId, Link, Phase};
+use super::messages::{ClientId, Effect, Input, LinkId};
+use super::replicas::Replicas;
+use super::usage::JoinKey;
+use crate::interface::*;
+use crate::protocol::discovery::Listing;
+use crate::settings::Site;
+use crate::Coordinator;
+use bytes::Bytes;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use usage::Recording;
+
+const MS: Nanos = 1_000_000;
+/// Taken off what a client waits: the ways there and back and a late turn of ours.
+const MARGIN: Nanos = 8 * MS;
+/// After SIGTERM new connections still arrive and clients use theirs for 0.7 s: so long all goes on.
+const GRACE: Nanos = 750 * MS;
+/// Of the descriptors, the hundredths that connections to leaf servers may take, and those that clients
+/// may: more than the third that good ones use at most, so that others do not cost them their place.
+const LINK_HUNDREDTHS: usize = 40;
+const CLIENT_HUNDREDTHS: usize = 45;
+/// From half of what clients may take on, one that has said nothing for so long after an answer is closed.
+const CLIENT_IDLE: Nanos = 2_000 * MS;
+/// Connections closed for each that opens, as long as there are any to close: what piles up goes faster
+/// than it comes.
+const CLOSED_AT_ONCE: usize = 2;
+/// The most that one message between mixers may hold.
+const MOST_DATAGRAM: usize = 256;
+/// Share of the idle time after which we close a connection, in tenths: the other end does so at the latest
+/// at its end, and what is written from then on is lost.
+const IDLE_TENTHS: Nanos = 9;
+
+/// A query that waits for its final answer.
+#[derive(Debug)]
+struct Query {
+    name: Rc<str>,
+    client: ClientId,
+    class: usize,
+    deadline: Nanos,
+    parts: Vec<RequestId>,
+    tenant: u32,
+    arrived: Nanos,
+    repeat: bool,
+    /// Joins retries; 0 while no usage is recorded.
+    key: JoinKey,
+}
+
+#[derive(Debug)]
+struct Part {
+    query: RequestId,
+    shard: u32,
+    weight: f64,
+    wire: Rc<str>,
+    text: Bytes,
+    attempts: u8,
+    /// Of the attempts, those to replicas in other zones.
+    crossed: u8,
+    value: Option<String>,
+}
+
+/// An attempt that has not ended. It outlives its query where cancelling is not allowed.
+#[derive(Debug)]
+struct Attempt {
+    replica: ReplicaId,
+    link: LinkId,
+    until: Nanos,
+    shard: u32,
+    text: Bytes,
+}
+
+#[derive(Debug, Default)]
+struct Client {
+    query: Option<RequestId>,
+    /// When its last reply went out, or it came.
+    since: Nanos,
+    /// It has sent a query that could be used.
+    known: bool,
+    /// It has been asked to close.
+    closing: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Alarm {
+    Wake(u64),
+    Attempt(AttemptId),
+    Connect(LinkId),
+    Idle(LinkId),
+    Probe(u64),
+    LastMoment(RequestId),
+    Mark,
+    GraceOver,
+    End,
+}
+
+#[derive(Debug)]
+struct Probe {
+    replica: ReplicaId,
+    link: LinkId,
+    asked: Nanos,
+}
+
+/// All that the mixer knows and is doing.
+pub struct State {
+    site: Site,
+    module: Coordinator,
+    events: Vec<Event>,
+    effects: Vec<Effect>,
+    alarms: BTreeSet<(Nanos, Alarm)>,
+    replicas: Replicas,
+    links: BTreeMap<LinkId, (ReplicaId, Link)>,
+    clients: BTreeMap<ClientId, Client>,
+    queries: BTreeMap<RequestId, Query>,
+    parts: BTreeMap<RequestId, Part>,
+    /// Of the open queries.
+    names: BTreeSet<Rc<str>>,
+    attempts: BTreeMap<AttemptId, Attempt>,
+    probes: BTreeMap<u64, Probe>,
+    /// Numbers given out so far: to requests, connections, probes, and to queries as groups of parts.
+    last_id: u64,
+    last_group: u32,
+    /// Links that have something to write, and those whose last call still takes parts of this turn.
+    pending: BTreeSet<LinkId>,
+    joining: BTreeSet<LinkId>,
+    most_links: usize,
+    most_clients: usize,
+    listed: bool,
+    terminated: Option<Nanos>,
+    closing: bool,
+    exited: bool,
+    counters: Counters,
+    /// Set where use is recorded.
+    recording: Option<Recording>,
+}
+
+impl State {
+    /// Starts with the list as it was last held, which may be old, and as many descriptors as it may hold.
+    pub fn new(
+        now: Nanos, site: Site, settings: Settings, seed: u64, known: &Listing, descriptors: usize,
+    ) -> State {
+        let mut state = State {
+            most_links: descriptors * LINK_HUNDREDTHS / 100,
+            most_clients: descriptors * CLIENT_HUNDREDTHS / 100,
+            replicas: Replicas::new(site.zones.clone()),
+            site,
+            module: Coordinator::new(settings, seed),
+            events: Vec::new(),
+            effects: Vec::new(),
+            alarms: BTreeSet::new(),
+            links: BTreeMap::new(),
+            clients: BTreeMap::new(),
+            queries: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            names: BTreeSet::new(),
+            attempts: BTreeMap::new(),
+            probes: BTreeMap::new(),
+            last_id: 0,
+            last_group: 0,
+            pending: BTreeSet::new(),
+            joining: BTreeSet::new(),
+            listed: false,
+            terminated: None,
+            closing: false,
+            exited: false,
+            counters: Counters::default(),
+            recording: None,
+        };
+        let (_, members, _) = state.replicas.take(known);
+        state.listed = state.replicas.any_ready();
+        state.events.push(Event::List { kind: ListKind::Remembered, members });
+        state.turn(now);
+        state
+    }
+
+    /// The version of the list that is held: where a watch goes on from.
+    pub fn list_index(&self) -> u64 {
+        self.replicas.index
+    }
+
+    /// Clients' connections that there is room for.
+    pub fn most_clients(&self) -> usize {
+        self.most_clients
+    }
+
+    /// When the next turn is due, whatever comes in until then.
+    pub fn next_due(&self) -> Option<Nanos> {
+        if !self.events.is_empty() {
+            return Some(0);
+        }
+        self.alarms.first().map(|(at, _)| *at)
+    }
+
+    /// What is held, in things of every kind: flat while the load is, whatever names come and go.
+    pub fn held(&self) -> usize {
+        let open = self.queries.len() + self.parts.len() + self.names.len() + self.attempts.len();
+        let sockets = self.clients.len() + self.links.len() + self.probes.len();
+        open + sockets + self.alarms.len() + self.replicas.known() + self.module.held()
+    }
+
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// The only way in: takes one input at `now` and returns what is to be done about it.
+    pub fn apply(&mut self, now: Nanos, input: Input) -> Vec<Effect> {
+        match input {
+            Input::ClientOpened { client } => self.client_opened(now, client),
+            Input::Asked { client, arrived, asked } => self.asked(now, client, arrived, asked),
+            Input::ClientClosed { client } => self.client_closed(client),
+            Input::LinkOpened { link } => {
+                if let Some((_, it)) = self.links.get_mut(&link) {
+                    it.opened(now);
+                    self.pending.insert(link);
+                }
+            }
+            Input::LinkWrote { link } => {
+                if let Some((_, it)) = self.links.get_mut(&link) {
+                    it.wrote();
+                    self.pending.insert(link);
+                }
+            }
+            Input::LinkHeard { link, frame } => self.heard(now, link, frame),
+            Input::LinkClosed { link } => {
+                if let Some((_, it)) = self.links.get(&link) {
+                    let connections = &mut self.counters.connections;
+                    match it.phase() {
+                        Phase::Connecting => connections.failed += 1,
+                        Phase::Open => connections.broken += 1,
+                    }
+                }
+                self.link_ended(now, link);
+            }
+            Input::Listed(listing) => self.take_list(now, &listing),
+            Input::Datagram { from, bytes } => self.events.push(Event::Message { from, bytes }),
+            Input::Reloaded { discovery } => self.reloaded(discovery),
+            Input::Terminate => self.terminate(now),
+            Input::Turn => self.turn(now),
+        }
+        self.pump(now);
+        self.leave();
+        std::mem::take(&mut self.effects)
+    }
+
+    fn id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+}
--- /dev/null
+++ b/crates/mixer/src/routing/state/turns.rs
@@ -0,0 +1,186 @@
+//! Turns: alarms that are due, the decisions, what they ask for, and the end.
+
+use super::{usage, Alarm, Part, Query, State, GRACE, IDLE_TENTHS, MOST_DATAGRAM, MS};
+use crate::interface::*;
+use crate::protocol::query::{Hit, Reply};
+use crate::routing::link::Phase;
+use crate::routing::messages::Effect;
+
+impl State {
+    pub(super) fn turn(&mut self, now: Nanos) {
+        while let Some((at, alarm)) = self.alarms.first().copied().filter(|(at, _)| *at <= now) {
+            self.alarms.remove(&(at, alarm));
+            self.ring(now, alarm);
+        }
+        if self.events.is_empty() {
+            return;
+        }
+        let events = std::mem::take(&mut self.events);
+        let mut actions = Vec::new();
+        self.module.handle(now, &events, &mut actions);
+        for action in actions {
+            self.act(now, action);
+        }
+        self.joining.clear();
+    }
+
+    pub(super) fn ring(&mut self, now: Nanos, alarm: Alarm) {
+        match alarm {
+            Alarm::Wake(token) => self.events.push(Event::Timer { token }),
+            Alarm::Attempt(id) => self.end_attempt(now, id, Outcome::TimedOut),
+            Alarm::Connect(link) => {
+                if self.links.get(&link).is_some_and(|(_, it)| it.phase() == Phase::Connecting) {
+                    self.counters.connections.failed += 1;
+                    self.close_link(now, link);
+                }
+            }
+            Alarm::Idle(link) => {
+                let Some((_, it)) = self.links.get_mut(&link) else { return };
+                let due = it.idle_since + self.site.idle_time / 10 * IDLE_TENTHS;
+                if !it.is_idle() {
+                    it.idle_alarm = None;
+                } else if due > now {
+                    it.idle_alarm = Some(due);
+                    self.alarms.insert((due, Alarm::Idle(link)));
+                } else {
+                    self.counters.connections.idle += 1;
+                    self.close_link(now, link);
+                }
+            }
+            Alarm::Probe(probe) => self.probe_ended(now, probe, Outcome::TimedOut, ""),
+            Alarm::LastMoment(id) => {
+                // Guards the rule that every query taken is answered in time, should the module miss one.
+                self.counters.faults.last_moment += 1;
+                tracing::error!(id, "query still open at the last moment");
+                self.events.push(Event::ClientGone { id });
+                self.finish(now, id, |state, _| {
+                    state.counters.answered.failed += 1;
+                    Reply::Failed
+                });
+            }
+            Alarm::Mark => self.mark(now),
+            Alarm::GraceOver => self.wind_down(),
+            Alarm::End => {
+                for id in self.queries.keys().copied().collect::<Vec<_>>() {
+                    self.ring(now, Alarm::LastMoment(id));
+                }
+                self.clients.clear();
+            }
+        }
+    }
+
+    pub(super) fn act(&mut self, now: Nanos, action: Action) {
+        match action {
+            Action::Send { part, replica, until } => self.send(now, part, replica, until),
+            Action::Cancel { part, attempt } => self.end_attempt(now, (part, attempt), Outcome::Cancelled),
+            Action::Answer { query, whole } => {
+                self.finish(now, query, |state, query| state.answer(query, whole));
+            }
+            Action::Refuse { query, come_back } => self.finish(now, query, |state, _| {
+                state.counters.answered.refused += 1;
+                Reply::Refused { come_back }
+            }),
+            Action::Fail { query } => self.finish(now, query, |state, _| {
+                state.counters.answered.failed += 1;
+                Reply::Failed
+            }),
+            Action::Wake { token, after } => {
+                self.alarms.insert((now + after, Alarm::Wake(token)));
+            }
+            // Discovery pushes its list here, and the watch asks again by itself.
+            Action::Subscribe { .. } | Action::FetchList => {}
+            Action::Probe { replica } => self.probe(now, replica),
+            Action::CloseIdle { replica } => {
+                let links = self.replicas.get(replica).map(|r| r.links.clone()).unwrap_or_default();
+                for link in links {
+                    if self.links.get(&link).is_some_and(|(_, it)| it.is_idle()) {
+                        self.close_link(now, link);
+                    }
+                }
+            }
+            Action::Tell { to, bytes } => {
+                if self.site.peers && bytes.len() <= MOST_DATAGRAM {
+                    self.counters.sent.datagrams += 1;
+                    self.effects.push(Effect::Datagram { to, bytes });
+                } else {
+                    self.counters.faults.stray += 1;
+                }
+            }
+            Action::Log(text) => tracing::info!("{text}"),
+        }
+    }
+
+    pub(super) fn finish(
+        &mut self, now: Nanos, id: RequestId, word: impl FnOnce(&mut Self, &(Query, Vec<Part>)) -> Reply,
+    ) {
+        let Some(ended) = self.end_query(id) else { return };
+        let reply = word(self, &ended);
+        self.record(&ended.0, &ended.1, usage::outcome(&reply));
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let (query, parts) = &ended;
+            let attempts: Vec<String> = parts
+                .iter()
+                .map(|p| format!("{}:{}{}", p.shard, p.attempts, if p.value.is_some() { "+" } else { "-" }))
+                .collect();
+            let (left_ms, attempts) = (query.deadline.saturating_sub(now) / MS, attempts.join(" "));
+            let word = match &reply {
+                Reply::Answer { whole: true, .. } => "whole",
+                Reply::Answer { .. } => "partial",
+                Reply::Refused { .. } => "refused",
+                _ => "failed",
+            };
+            tracing::debug!(id, class = query.class, left_ms, attempts, "query ended: {word}");
+        }
+        self.reply(now, ended.0.client, reply);
+    }
+
+    /// The answer from the values that are in. What the parts do not bear out is not claimed, whatever the
+    /// module says: one dishonest answer costs a whole day.
+    pub(super) fn answer(&mut self, (query, parts): &(Query, Vec<Part>), whole: bool) -> Reply {
+        let all: f64 = parts.iter().map(|p| p.weight).sum();
+        let landed: f64 = parts.iter().filter(|p| p.value.is_some()).map(|p| p.weight).sum();
+        let holds =
+            |share: &[f64]| landed + 1e-4 >= share.get(query.class).copied().unwrap_or(1.0) * all.min(1.0);
+        let bears_whole = holds(&self.site.needs);
+        if !holds(&self.site.floors) || whole && !bears_whole {
+            self.counters.faults.dishonest += 1;
+            tracing::error!(landed, whole, class = query.class, "an answer that its parts do not bear out");
+            self.counters.answered.failed += 1;
+            return Reply::Failed;
+        }
+        let hit = |p: &Part| p.value.clone().map(|doc| Hit { shard: p.shard, doc });
+        let hits = parts.iter().filter_map(hit).collect();
+        if whole {
+            self.counters.answered.whole += 1;
+        } else {
+            self.counters.answered.partial += 1;
+        }
+        Reply::Answer { whole, hits }
+    }
+
+    pub(super) fn terminate(&mut self, now: Nanos) {
+        if self.terminated.is_none() {
+            self.terminated = Some(now);
+            let longest = self.site.deadlines.iter().max().copied().unwrap_or_default();
+            self.alarms.insert((now + GRACE, Alarm::GraceOver));
+            self.alarms.insert((now + GRACE.max(longest), Alarm::End));
+        }
+    }
+
+    /// The grace is over: no new connections, and those between requests are closed.
+    pub(super) fn wind_down(&mut self) {
+        self.closing = true;
+        self.effects.push(Effect::StopListening);
+        let idle = self.clients.iter().filter(|(_, c)| c.query.is_none());
+        self.effects.extend(idle.map(|(client, _)| Effect::CloseClient { client: *client }));
+    }
+
+    /// Once all that was taken is answered and every client's connection has ended, nothing is left to do.
+    pub(super) fn leave(&mut self) {
+        if self.closing && !self.exited && self.queries.is_empty() && self.clients.is_empty() {
+            self.exited = true;
+            self.mark_end();
+            self.effects.push(Effect::Exit(Box::new(self.counters.clone())));
+        }
+    }
+}
--- /dev/null
+++ b/crates/mixer/src/routing/usage.rs
@@ -0,0 +1,85 @@
+//! What a query was used for, as the ledger counts it: one record for each query that ended.
+
+use crate::interface::Nanos;
+use xxhash_rust::xxh3::Xxh3;
+
+/// What joins the tries of one use: the same at every mixer and in every run, so that a retry elsewhere is known
+/// again. Odd if the client gave it; 0 is no key.
+pub type JoinKey = u64;
+
+/// The key of a use that its client has named.
+pub fn key_of_client(class: &str, key: &str) -> JoinKey {
+    let mut hash = hash_of(class);
+    hash.update(key.as_bytes());
+    hash.digest() | 1
+}
+
+/// The key of a use by what it asks: the class, the parts in any order, and the text.
+pub fn key_of_query(class: &str, parts: impl Iterator<Item = (u32, f64)>, text: &[u8]) -> JoinKey {
+    let mut parts: Vec<_> = parts.map(|(shard, weight)| (shard, weight.to_bits())).collect();
+    parts.sort_unstable();
+    let mut hash = hash_of(class);
+    for (shard, weight) in parts {
+        hash.update(&shard.to_le_bytes());
+        hash.update(&weight.to_le_bytes());
+    }
+    hash.update(text);
+    // Even, and never 0.
+    hash.digest() & !1 | 2
+}
+
+/// Whether a key is one that the client gave.
+pub fn is_client_key(key: JoinKey) -> bool {
+    key & 1 != 0
+}
+
+fn hash_of(class: &str) -> Xxh3 {
+    let mut hash = Xxh3::new();
+    hash.update(class.as_bytes());
+    hash.update(&[0]);
+    hash
+}
+
+/// How a query ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Outcome {
+    Whole,
+    /// Answered from parts with this share of the weight, in millionths.
+    Partial(u32),
+    Refused,
+    Failed,
+    /// The client left before the answer.
+    Left,
+}
+
+/// One query that ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Usage {
+    /// Counts from 1 over the records of this run, without a gap.
+    pub sequence: u64,
+    /// By the settings' numbers.
+    pub tenant: u32,
+    pub class: u16,
+    /// Unix nanoseconds by this mixer's clock; never before what a mark has said to be complete.
+    pub arrived: Nanos,
+    pub outcome: Outcome,
+    pub parts: u32,
+    pub attempts: u32,
+    /// Of the attempts, those to replicas in other zones.
+    pub crossed: u32,
+    /// The client marked it as a repeat of an earlier try.
+    pub repeat: bool,
+    pub key: JoinKey,
+    /// The key is one that the client gave.
+    pub keyed: bool,
+}
+
+/// Every query that arrived before `complete` and has ended is recorded with a sequence up to `sequence`, and none
+/// that arrived before it will follow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mark {
+    pub sequence: u64,
+    pub complete: Nanos,
+    /// Nothing at all follows: the mixer ends.
+    pub end: bool,
+}
--- a/src/settings.rs
+++ b/crates/mixer/src/settings.rs
@@ -154,6 +154,8 @@
     pub classes: Vec<String>,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
+    /// Where this mixer is, by number.
+    pub zone: u16,
     /// For each class: the longest that a client waits, the share a whole answer needs, the least share.
     pub deadlines: Vec<u64>,
     pub needs: Vec<f64>,
@@ -190,6 +192,7 @@
         floors: each("extra.least_share")?,
         tenants: pairs.names("orgs")?,
         zones: pairs.list("localities"),
+        zone: pairs.get("my_zone")?.unwrap_or_default(),
         shards: number32(&pairs, "extra.ranges")?,
         call_parts: pairs.get("extra.bundle_max")?.unwrap_or(1).max(1),
         streams: pairs.get("limits.streams_per_conn")?.unwrap_or(1).max(1),
--- /dev/null
+++ b/crates/mixer/src/transport/ledger.rs
@@ -0,0 +1,184 @@
+//! Replies that wait for their record of use: what a client is told is in the log first, unless the log stalls.
+
+use crate::protocol::query::Reply;
+use crate::routing::usage::{Mark, Usage};
+use crate::routing::ClientId;
+use std::collections::VecDeque;
+use tokio::sync::watch;
+use tokio::time::{timeout_at, Duration, Instant};
+
+/// Where records of use go. None of this may block: it is called between the sockets' turns.
+pub trait Recorder {
+    /// Hands a record on; false if there was no room and it is lost.
+    fn record(&mut self, usage: Usage) -> bool;
+    fn mark(&mut self, mark: Mark);
+    /// The sequence up to which records are with the operating system.
+    fn written(&self) -> watch::Receiver<u64>;
+    /// How long a reply waits for its record at the most.
+    fn stall(&self) -> Duration;
+    /// A reply has left before its record was written.
+    fn left_without(&mut self);
+    /// Writes what is still waiting, for a bounded time.
+    fn close(&mut self);
+}
+
+struct Held {
+    sequence: u64,
+    until: Instant,
+    reply: (ClientId, Reply, bool),
+}
+
+/// The recorder and the replies that wait for it, in the order of their records.
+pub struct Ledger {
+    recorder: Box<dyn Recorder>,
+    written: watch::Receiver<u64>,
+    stall: Duration,
+    held: VecDeque<Held>,
+    /// The record whose reply comes next.
+    next: Option<u64>,
+}
+
+impl Ledger {
+    pub fn new(recorder: Box<dyn Recorder>) -> Ledger {
+        let (written, stall) = (recorder.written(), recorder.stall());
+        Ledger { recorder, written, stall, held: VecDeque::new(), next: None }
+    }
+
+    pub fn record(&mut self, usage: Usage) {
+        let sequence = usage.sequence;
+        self.next = self.recorder.record(usage).then_some(sequence);
+    }
+
+    pub fn mark(&mut self, mark: Mark) {
+        self.recorder.mark(mark);
+    }
+
+    /// Holds a reply until its record is written; gives it back if there is nothing to wait for.
+    pub fn hold(&mut self, client: ClientId, reply: Reply, close: bool) -> Option<(ClientId, Reply, bool)> {
+        let reply = (client, reply, close);
+        match self.next.take() {
+            Some(sequence) if *self.written.borrow() < sequence => {
+                self.held.push_back(Held { sequence, until: Instant::now() + self.stall, reply });
+                None
+            }
+            _ => Some(reply),
+        }
+    }
+
+    /// A connection is to close: with its reply, if that is still held.
+    pub fn close_client(&mut self, client: ClientId) {
+        for held in self.held.iter_mut().filter(|held| held.reply.0 == client) {
+            held.reply.2 = true;
+        }
+    }
+
+    /// Returns once a reply may go; never while none is held.
+    pub async fn progress(&mut self) {
+        let Some(until) = self.held.front().map(|held| held.until) else {
+            return std::future::pending().await;
+        };
+        // Past its time, or with the writer gone, the reply goes without its record.
+        if let Ok(Err(_)) = timeout_at(until, self.written.changed()).await {
+            self.held.iter_mut().for_each(|held| held.until = Instant::now());
+        }
+    }
+
+    /// The next reply that may go.
+    pub fn release(&mut self) -> Option<(ClientId, Reply, bool)> {
+        let front = self.held.front()?;
+        let written = *self.written.borrow() >= front.sequence;
+        if !written && Instant::now() < front.until {
+            return None;
+        }
+        if !written {
+            self.recorder.left_without();
+        }
+        self.held.pop_front().map(|held| held.reply)
+    }
+
+    /// Writes what waits, then gives back every reply.
+    pub fn close(&mut self) -> Vec<(ClientId, Reply, bool)> {
+        self.recorder.close();
+        self.held.drain(..).map(|held| held.reply).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A log whose writer moves only when the test says so.
+    struct Slow {
+        room: bool,
+        written: watch::Sender<u64>,
+        without: std::rc::Rc<std::cell::Cell<u32>>,
+    }
+
+    impl Recorder for Slow {
+        fn record(&mut self, _: Usage) -> bool {
+            self.room
+        }
+        fn mark(&mut self, _: Mark) {}
+        fn written(&self) -> watch::Receiver<u64> {
+            self.written.subscribe()
+        }
+        fn stall(&self) -> Duration {
+            Duration::from_millis(5)
+        }
+        fn left_without(&mut self) {
+            self.without.set(self.without.get() + 1);
+        }
+        fn close(&mut self) {}
+    }
+
+    fn usage(sequence: u64) -> Usage {
+        let outcome = crate::routing::usage::Outcome::Whole;
+        let (tenant, class, arrived, parts, attempts, crossed) = (0, 0, 0, 1, 1, 0);
+        Usage {
+            sequence,
+            tenant,
+            class,
+            arrived,
+            outcome,
+            parts,
+            attempts,
+            crossed,
+            repeat: false,
+            key: 2,
+            keyed: false,
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn replies_wait_for_their_records_in_order_but_no_longer_than_a_stall() {
+        let without = std::rc::Rc::<std::cell::Cell<u32>>::default();
+        let (written, _keep) = watch::channel(0);
+        let slow = Slow { room: true, written: written.clone(), without: without.clone() };
+        let mut ledger = Ledger::new(Box::new(slow));
+        for sequence in 1..=3 {
+            ledger.record(usage(sequence));
+            assert!(ledger.hold(sequence, Reply::Failed, false).is_none());
+        }
+        // What is no query's answer has nothing to wait for.
+        assert!(ledger.hold(9, Reply::Ready(true), false).is_some());
+        assert!(ledger.release().is_none());
+        ledger.close_client(2);
+        written.send_replace(2);
+        ledger.progress().await;
+        assert_eq!(ledger.release().map(|r| (r.0, r.2)), Some((1, false)));
+        assert_eq!(ledger.release().map(|r| (r.0, r.2)), Some((2, true)));
+        assert!(ledger.release().is_none());
+        let began = Instant::now();
+        ledger.progress().await;
+        assert_eq!(ledger.release().map(|r| r.0), Some(3));
+        assert_eq!((began.elapsed(), without.get()), (Duration::from_millis(5), 1));
+    }
+
+    #[tokio::test]
+    async fn a_reply_whose_record_is_lost_goes_at_once() {
+        let (written, _keep) = watch::channel(0);
+        let mut ledger = Ledger::new(Box::new(Slow { room: false, written, without: Default::default() }));
+        ledger.record(usage(1));
+        assert!(ledger.hold(1, Reply::Failed, false).is_some());
+    }
+}
--- a/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -4,15 +4,18 @@
 mod clients;
 mod clock;
 mod leaf;
+mod ledger;
 mod peers;
 mod pool;
 mod watch;
 
 pub use clock::Clock;
+pub use ledger::Recorder;
 
-use crate::protocol::query::Names;
+use crate::protocol::query::{Names, Reply};
 use crate::routing::{ClientId, Effect, Input, LinkId, State};
 use futures_util::StreamExt;
+use ledger::Ledger;
 use pool::Pool;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -69,6 +72,7 @@
     udp: Option<Udp>,
     listener: AbortHandle,
     watch: AbortHandle,
+    ledger: Option<Ledger>,
     exited: bool,
 }
 
@@ -115,7 +119,7 @@
 /// Serves on `listener` until the reducer asks for the end. Must run inside a `LocalSet`.
 pub async fn serve(
     mut state: State, clock: Clock, names: Names, listener: TcpListener, addresses: Addresses,
-    mut told: mpsc::Receiver<Told>,
+    mut told: mpsc::Receiver<Told>, recorder: Option<Box<dyn Recorder>>,
 ) -> io::Result<()> {
     let (inputs, mut arrived) = mpsc::channel(MOST_INPUTS);
     let shared = Shared {
@@ -133,7 +137,8 @@
     let listener = tokio::task::spawn_local(clients::listen(shared.clone(), listener, state.most_clients()));
     let listener = listener.abort_handle();
     let watch = watch(&shared, addresses.discovery, state.list_index());
-    let mut driver = Driver { shared, links: HashMap::new(), udp, listener, watch, exited: false };
+    let ledger = recorder.map(Ledger::new);
+    let mut driver = Driver { shared, links: HashMap::new(), udp, listener, watch, ledger, exited: false };
     while !driver.exited {
         let due = state.next_due().map(|at| clock.instant(at));
         tokio::select! {
@@ -145,6 +150,10 @@
                 };
                 driver.put(&mut state, clock.now(), input);
             }
+            () = progress(&mut driver.ledger) => {
+                driver.release();
+                continue;
+            }
             Some(input) = arrived.recv() => {
                 // What the other sockets have ready joins the same turn.
                 tokio::task::yield_now().await;
@@ -161,10 +170,19 @@
         }
         driver.put(&mut state, clock.now(), Input::Turn);
     }
+    driver.close_ledger();
     sleep(LAST_FLUSH).await;
     Ok(())
 }
 
+/// Returns once a reply that waits for its record may go.
+async fn progress(ledger: &mut Option<Ledger>) {
+    match ledger {
+        Some(ledger) => ledger.progress().await,
+        None => std::future::pending().await,
+    }
+}
+
 impl Driver {
     fn put(&mut self, state: &mut State, now: u64, input: Input) {
         for effect in state.apply(now, input) {
@@ -184,9 +202,28 @@
     fn perform(&mut self, effect: Effect) {
         match effect {
             Effect::Reply { client, reply, close } => {
-                self.tell_client(client, clients::Command::Reply(Box::new(reply), close));
+                let ready = match &mut self.ledger {
+                    Some(ledger) => ledger.hold(client, reply, close),
+                    None => Some((client, reply, close)),
+                };
+                self.reply(ready);
+            }
+            Effect::CloseClient { client } => {
+                if let Some(ledger) = &mut self.ledger {
+                    ledger.close_client(client);
+                }
+                self.tell_client(client, clients::Command::Close);
+            }
+            Effect::Record(usage) => {
+                if let Some(ledger) = &mut self.ledger {
+                    ledger.record(usage);
+                }
+            }
+            Effect::Mark(mark) => {
+                if let Some(ledger) = &mut self.ledger {
+                    ledger.mark(mark);
+                }
             }
-            Effect::CloseClient { client } => self.tell_client(client, clients::Command::Close),
             Effect::Connect { link, address } => {
                 self.links.retain(|_, handle| !handle.is_over());
                 self.links.insert(link, leaf::open(self.shared.clone(), link, address));
@@ -215,6 +252,24 @@
         }
     }
 
+    fn reply(&self, ready: Option<(ClientId, Reply, bool)>) {
+        if let Some((client, reply, close)) = ready {
+            self.tell_client(client, clients::Command::Reply(Box::new(reply), close));
+        }
+    }
+
+    /// Sends the replies whose records are written, or that have waited for long enough.
+    fn release(&mut self) {
+        while let Some(ready) = self.ledger.as_mut().and_then(Ledger::release) {
+            self.reply(Some(ready));
+        }
+    }
+
+    fn close_ledger(&mut self) {
+        let held = self.ledger.as_mut().map(Ledger::close).unwrap_or_default();
+        held.into_iter().for_each(|ready| self.reply(Some(ready)));
+    }
+
     fn tell_client(&self, client: ClientId, command: clients::Command) {
         if let Some(commands) = self.shared.clients.borrow().get(&client) {
             // Full only if a task is stuck on a client that reads nothing; that client loses its answer.
--- a/tests/bed/mod.rs
+++ b/crates/mixer/tests/bed/mod.rs
@@ -4,11 +4,12 @@
 #![allow(dead_code)] // Each test file uses its own part of it.
 
 use bytes::Bytes;
-use cottonhill::protocol::discovery::Listing;
-use cottonhill::protocol::leaf::{End, FromLeaf, ToLeaf};
-use cottonhill::protocol::query::{Asked, AskedPart, Query, Reply};
-use cottonhill::routing::{ClientId, Effect, Input, LinkId, State};
-use cottonhill::settings;
+use cottonhill_mixer::protocol::discovery::Listing;
+use cottonhill_mixer::protocol::leaf::{End, FromLeaf, ToLeaf};
+use cottonhill_mixer::protocol::query::{Asked, AskedPart, Query, Reply};
+use cottonhill_mixer::routing::usage::{Mark, Usage};
+use cottonhill_mixer::routing::{ClientId, Effect, Input, LinkId, State};
+use cottonhill_mixer::settings;
 use std::collections::{BTreeMap, BTreeSet};
 
 pub const MS: u64 = 1_000_000;
@@ -38,6 +39,8 @@
     pub exited: bool,
     /// No socket takes the last byte of a frame.
     pub stuck: bool,
+    pub records: Vec<Usage>,
+    pub marks: Vec<Mark>,
     told: BTreeMap<String, String>,
     writing: BTreeSet<LinkId>,
     clients: u64,
@@ -78,6 +81,8 @@
             listening: true,
             exited: false,
             stuck: false,
+            records: Vec::new(),
+            marks: Vec::new(),
             told: (1..=replicas).map(|r| (address(r), "up".to_string())).collect(),
             writing: BTreeSet::new(),
             clients: 0,
@@ -94,6 +99,8 @@
 
     fn perform(&mut self, effect: Effect) {
         match effect {
+            Effect::Record(usage) => self.records.push(usage),
+            Effect::Mark(mark) => self.marks.push(mark),
             Effect::Reply { client, reply, close } => {
                 self.replies.entry(client).or_default().push((self.now, reply));
                 if close {
@@ -172,6 +179,7 @@
             tenant: 0,
             timeout: timeout_ms * MS,
             repeat: false,
+            idempotency_key: None,
             parts: weights.iter().enumerate().map(part).collect(),
             text: Bytes::from_static(b"c41e77d0"),
         };
--- a/tests/connection.rs
+++ b/crates/mixer/tests/connection.rs
@@ -4,8 +4,8 @@
 mod bed;
 
 use bed::{Bed, MS};
-use cottonhill::protocol::leaf::{End, ToLeaf};
-use cottonhill::routing::link::{Answered, AttemptId, Job, Link};
+use cottonhill_mixer::protocol::leaf::{End, ToLeaf};
+use cottonhill_mixer::routing::link::{Answered, AttemptId, Job, Link};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, VecDeque};
--- a/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -3,10 +3,10 @@
 mod bed;
 
 use bed::{Bed, MS, START};
-use cottonhill::protocol::http::Rejection;
-use cottonhill::protocol::leaf::{End, ToLeaf};
-use cottonhill::protocol::query::{Asked, AskedPart, Query, Reply};
-use cottonhill::routing::{Effect, Input};
+use cottonhill_mixer::protocol::http::Rejection;
+use cottonhill_mixer::protocol::leaf::{End, ToLeaf};
+use cottonhill_mixer::protocol::query::{Asked, AskedPart, Query, Reply};
+use cottonhill_mixer::routing::{Effect, Input};
 
 fn calls(bed: &Bed) -> Vec<(u64, String)> {
     let call = |(link, frame): &(u64, ToLeaf)| match frame {
@@ -275,6 +275,7 @@
             tenant: 0,
             timeout: 5000 * MS,
             repeat: false,
+            idempotency_key: None,
             parts: vec![part],
             text: Default::default(),
         };
--- /dev/null
+++ b/crates/standins/src/installation.rs
@@ -0,0 +1,268 @@
+//! A whole installation on loopback: discovery, leaf servers in three zones, real mixers, and their settlement.
+
+use crate::discovery::Discovery;
+use crate::leaf::Leaf;
+use crate::process::{beside, Process};
+use serde_json::{json, Value};
+use std::fmt::Write as _;
+use std::fs;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+pub const ZONES: [&str; 3] = ["colombo-north", "colombo-south", "kandy"];
+/// Classes, with the wanted and the longest time in milliseconds and the least share of a partial answer.
+pub const CLASSES: [(&str, u64, u64, f64); 3] = [
+    ("preview-lookup", 150, 900, 1.0),
+    ("chart-ranking", 250, 1200, 0.6),
+    ("catalogue-report", 500, 1500, 0.6),
+];
+pub const TENANTS: [&str; 4] = ["alpha", "beta", "gamma", "delta"];
+pub const SHARDS: u32 = 16;
+const CELLS: usize = 4;
+const MS: u64 = 1_000_000;
+
+/// How an installation is to be.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    /// The middle of a part's time at a leaf server.
+    pub work: Duration,
+    /// Whether mixers keep a usage log.
+    pub usage: bool,
+    /// Sections of the settlement's settings beside its store and members.
+    pub ledger: String,
+}
+
+struct Slot {
+    zone: usize,
+    cell: usize,
+    leaf: Option<Leaf>,
+    starts: u64,
+}
+
+pub struct Mixer {
+    pub name: String,
+    pub address: SocketAddr,
+    pub usage: PathBuf,
+    config: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    pub process: Option<Process>,
+}
+
+pub struct Installation {
+    pub folder: PathBuf,
+    pub ip: IpAddr,
+    plan: Plan,
+    discovery: Discovery,
+    slots: Vec<Slot>,
+    pub mixers: Vec<Mixer>,
+    pub settings: PathBuf,
+    pub settlement: Option<Process>,
+    program: PathBuf,
+}
+
+/// A loopback address of this process's own, so that ports freed for a moment are not taken by another one.
+pub fn own_ip() -> IpAddr {
+    let id = std::process::id();
+    IpAddr::V4(Ipv4Addr::new(127, 20 + (id >> 16) as u8 % 100, (id >> 8) as u8, (id as u8).max(1)))
+}
+
+/// A port that is free now.
+///
+/// # Errors
+/// There is none.
+pub fn free_port(ip: IpAddr) -> io::Result<SocketAddr> {
+    TcpListener::bind((ip, 0))?.local_addr()
+}
+
+/// Unix milliseconds.
+pub fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+fn platform(
+    name: &str, zone: usize, listen: SocketAddr, discovery: SocketAddr, seed: u64, known: &Value,
+) -> Value {
+    let class = |(name, aim, give_up, _): &(&str, u64, u64, f64)| {
+        json!({"name": name, "aim_ns": aim * MS, "give_up_ns": give_up * MS, "semantics": "read_like",
+            "importance": 1.0, "late_value": 0.3})
+    };
+    json!({
+        "name": name, "listen": listen, "discovery": discovery, "seed": format!("{seed:016x}"),
+        "limits": {"sockets": 1024}, "known": known,
+        "settings": {
+            "classes": CLASSES.iter().map(class).collect::<Vec<_>>(),
+            "orgs": TENANTS.map(|name| json!({"name": name})),
+            "localities": ZONES, "my_zone": zone, "replicas_of_me": 3, "tick_ns": 5 * MS,
+            "callers": {"marks_retry": true},
+            "tariffs": {"cross_zone": 0.05},
+            "extra": {"places": CELLS, "reach": 2, "ranges": SHARDS, "bundle_max": 8,
+                "class_need": CLASSES.map(|_| 1.0), "least_share": CLASSES.map(|class| class.3),
+                "partial_earns": CLASSES.map(|_| 0.9), "second_step": CLASSES.map(|_| 0)},
+            "limits": {"cancelling": true, "may_duplicate": true, "max_attempts": 4, "streams_per_conn": 32,
+                "connect_timeout_ns": 250 * MS, "conn_idle_ns": 30_000 * MS, "open_cap": 4096,
+                "max_retry_after_ns": 300 * MS},
+            "guarantees": {"cold_from": 0.5, "cold_ns": 1000 * MS, "fall_multiple": 6.0, "fall_ns": 2000 * MS},
+        }
+    })
+}
+
+impl Installation {
+    /// Starts leaf servers and discovery, writes the files of three mixers, and starts them.
+    ///
+    /// # Errors
+    /// Something of it can't be started.
+    pub async fn start(folder: &Path, plan: Plan) -> io::Result<Installation> {
+        let (ip, program) = (own_ip(), beside("cottonhill")?);
+        let discovery = Discovery::start(ip).await?;
+        let mut slots = Vec::new();
+        for zone in 0..ZONES.len() {
+            slots.extend((0..CELLS).map(|cell| Slot { zone, cell, leaf: None, starts: 0 }));
+        }
+        let mut installation = Installation {
+            folder: folder.into(),
+            ip,
+            discovery,
+            slots,
+            mixers: Vec::new(),
+            settings: folder.join("ledger.ini"),
+            settlement: None,
+            program,
+            plan,
+        };
+        for zone in 0..ZONES.len() {
+            installation.restore_zone(zone, false).await?;
+        }
+        let mut members = String::new();
+        for (zone, _) in ZONES.iter().enumerate() {
+            let name = format!("n{zone}");
+            let file = |what: &str| folder.join(format!("{name}.{what}"));
+            let (address, collect) = (free_port(ip)?, free_port(ip)?);
+            let (config, settings, usage) = (file("json"), file("ini"), file("usage"));
+            let seed = installation.plan.seed ^ (zone as u64 + 1);
+            let (at, known) = (installation.discovery.address, installation.discovery.known());
+            fs::write(&config, format!("{:#}", platform(&name, zone, address, at, seed, &known)))?;
+            let shown = usage.display();
+            let own = if installation.plan.usage {
+                format!("[usage]\ndirectory = {shown}\nmark = 100ms\nsegment = 64KiB\nlisten = {collect}\n")
+            } else {
+                String::new()
+            };
+            fs::write(&settings, own)?;
+            let _ = write!(members, "[member {name}]\naddress = {collect}\n\n");
+            let log = file("log");
+            installation.mixers.push(Mixer { name, address, usage, config, settings, log, process: None });
+            installation.start_mixer(zone).await?;
+        }
+        let store = folder.join("ledger.sqlite");
+        let ledger =
+            format!("[settlement]\nstore = {}\n\n{members}{}", store.display(), installation.plan.ledger);
+        fs::write(&installation.settings, ledger)?;
+        Ok(installation)
+    }
+
+    /// Starts a mixer, also one that was killed, and waits until it is ready.
+    ///
+    /// # Errors
+    /// It does not come up within 10 s.
+    pub async fn start_mixer(&mut self, at: usize) -> io::Result<()> {
+        let mixer = &mut self.mixers[at];
+        let mut command = Command::new(&self.program);
+        command.arg("--config").arg(&mixer.config).arg("--settings").arg(&mixer.settings);
+        command.env_remove("BALANCER_CONFIG").env_remove("COTTONHILL_SETTINGS").env_remove("COTTONHILL_LOG");
+        mixer.process = Some(Process::start(&mut command, &mixer.log)?);
+        for _ in 0..500 {
+            if get(mixer.address, "/-/ready").await.is_some_and(|(status, _)| status == 200) {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let log = fs::read_to_string(&mixer.log).unwrap_or_default();
+        Err(io::Error::other(format!("mixer {} does not come up: {}", mixer.name, log.trim())))
+    }
+
+    /// Ends a mixer as a crash does.
+    pub fn kill_mixer(&mut self, at: usize) {
+        self.mixers[at].process = None;
+    }
+
+    /// A zone is dark: its leaf servers are gone without a word from discovery.
+    pub fn lose_zone(&mut self, zone: usize) {
+        self.slots.iter_mut().filter(|slot| slot.zone == zone).for_each(|slot| slot.leaf = None);
+    }
+
+    /// A zone's leaf servers start, at other addresses than before, and discovery tells.
+    ///
+    /// # Errors
+    /// There are no ports.
+    pub async fn restore_zone(&mut self, zone: usize, cold: bool) -> io::Result<()> {
+        let mut lines = Vec::new();
+        for (i, slot) in self.slots.iter_mut().enumerate().filter(|(_, slot)| slot.zone == zone) {
+            slot.starts += 1;
+            let leaf =
+                Leaf::start(self.ip, self.plan.work, self.plan.seed ^ (i as u64) << 32 ^ slot.starts).await?;
+            let since = if cold { now_ms() } else { 0 };
+            let line = |starts: u64, status: &str, address: SocketAddr| {
+                json!({"name": format!("s-{i}-{starts}"), "address": address, "zone": ZONES[zone], "type": "m",
+                    "group": slot.cell, "status": status, "weight": 1.0, "since_ms": since})
+            };
+            if slot.starts > 1 {
+                lines.push(line(slot.starts - 1, "removed", leaf.address));
+            }
+            lines.push(line(slot.starts, "up", leaf.address));
+            slot.leaf = Some(leaf);
+        }
+        self.discovery.tell(lines);
+        Ok(())
+    }
+
+    /// Parts that the leaf servers now up were sent.
+    pub fn parts_seen(&self) -> u64 {
+        let leaves = self.slots.iter().filter_map(|slot| slot.leaf.as_ref());
+        leaves.map(|leaf| leaf.seen.parts.load(std::sync::atomic::Ordering::Relaxed)).sum()
+    }
+
+    /// The command line of the ledger, with its settings.
+    pub fn ledger(&self, words: &[&str]) -> Command {
+        let mut command = Command::new(&self.program);
+        command.arg("ledger").args(words).arg("--settings").arg(&self.settings);
+        command.env_remove("COTTONHILL_LOG");
+        command
+    }
+
+    /// Starts the settlement.
+    ///
+    /// # Errors
+    /// It can't be started.
+    pub fn start_settlement(&mut self) -> io::Result<()> {
+        let log = self.folder.join("ledger.log");
+        self.settlement = Some(Process::start(&mut self.ledger(&["serve"]), &log)?);
+        Ok(())
+    }
+
+    pub fn kill_settlement(&mut self) {
+        self.settlement = None;
+    }
+}
+
+/// A plain GET; the status and the body.
+pub async fn get(address: SocketAddr, path: &str) -> Option<(u16, Vec<u8>)> {
+    use http_body_util::{BodyExt, Empty};
+    let exchange = async {
+        let stream = tokio::net::TcpStream::connect(address).await.ok()?;
+        let io = hyper_util::rt::TokioIo::new(stream);
+        let (mut send, connection) = hyper::client::conn::http1::handshake(io).await.ok()?;
+        let task = tokio::spawn(connection);
+        let request = hyper::Request::get(path).header("Host", "mixer").header("Connection", "close");
+        let answer = send.send_request(request.body(Empty::<bytes::Bytes>::new()).ok()?).await.ok()?;
+        let status = answer.status().as_u16();
+        let body = answer.into_body().collect().await.ok()?.to_bytes();
+        task.abort();
+        Some((status, body.to_vec()))
+    };
+    tokio::time::timeout(Duration::from_secs(2), exchange).await.ok()?
+}
--- a/src/bin/cottonhill.rs
+++ /dev/null
@@ -1,5 +0,0 @@
-//! One real mixer on sockets.
-
-fn main() -> std::process::ExitCode {
-    cottonhill::program::run()
-}
