Prove the ledger against what clients sent; settle again what late records and deaths change

Need: a count that members pay by has to be shown exact under failure. A random test of the store found two causes of a wrong total: a late record just past a closed period's end did not have it settled again, nor did a run's death or end that became known later; both do now.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 build:
 	cargo build --release --locked
 
+# The programs first: the proofs start them.
 test:
+	cargo build --locked --workspace
 	cargo test --locked --workspace
 
 lint:
--- a/crates/ledger/src/settle.rs
+++ b/crates/ledger/src/settle.rs
@@ -17,8 +17,12 @@
 impl Bounds {
     /// The arrivals that settling a period has to see: from, and up to without.
     pub fn seen(&self, period: Period) -> (i64, i64) {
-        let after = self.horizon.saturating_add(3 * self.skew).saturating_add(1);
-        (period.start.saturating_sub(self.skew), period.end.saturating_add(after))
+        (period.start.saturating_sub(self.skew), period.end.saturating_add(self.after()))
+    }
+
+    /// How far past its end settling a period sees, in milliseconds.
+    pub fn after(&self) -> i64 {
+        self.horizon.saturating_add(3 * self.skew).saturating_add(1)
     }
 }
 
--- a/crates/ledger/src/settlement.rs
+++ b/crates/ledger/src/settlement.rs
@@ -67,7 +67,7 @@
 
     /// Takes a batch into the store.
     pub fn take(&mut self, member: &str, batch: &Batch) -> Result<Position, Error> {
-        let took = self.store.ingest(member, batch, &self.settings.calendar)?;
+        let took = self.store.ingest(member, batch, &self.settings.calendar, self.bounds())?;
         for damage in &batch.damage {
             let (segment, from, to) = (&damage.segment, damage.from, damage.to);
             tracing::error!(member, segment, from, to, "damaged bytes in a usage log");
--- a/crates/ledger/src/store.rs
+++ b/crates/ledger/src/store.rs
@@ -272,7 +272,9 @@
     }
 
     /// Takes what a member's log holds. The same batch again changes nothing.
-    pub fn ingest(&mut self, member: &str, batch: &Batch, calendar: &Calendar) -> Result<Ingested> {
+    pub fn ingest(
+        &mut self, member: &str, batch: &Batch, calendar: &Calendar, bounds: Bounds,
+    ) -> Result<Ingested> {
         let Some(header) = &batch.header else { return Ok(Ingested::default()) };
         let who = self.number("member", member)?;
         let mut tenants = Vec::new();
@@ -306,10 +308,7 @@
                 },
             )
             .optional()?;
-        if before.is_none() {
-            // A run before that has not said that it ended has died, and what it said last is in doubt.
-            note_death(&begin, who, run)?;
-        }
+        let doubted = doubts(&begin, Some(who))?;
         let (mut sequence, mut complete, mut marked, mut ended, mut lost): (i64, i64, i64, bool, i64) =
             before.unwrap_or((0, i64::MIN, 0, false, 0));
         {
@@ -350,9 +349,10 @@
                         // One that fills a gap after all, or widens it.
                         lost += if got >= expected { got - expected } else { -1 };
                         sequence = sequence.max(got);
-                        if at < closed {
+                        // A closed period has seen a while past its end, where its retries are.
+                        if at < closed.saturating_add(bounds.after()) {
                             ingested.late += 1;
-                            note_late(&begin, at, calendar)?;
+                            note_late(&begin, at, at < closed, calendar, bounds)?;
                         }
                     }
                     Some(What::Mark(mark)) => {
@@ -371,6 +371,14 @@
             "INSERT OR REPLACE INTO position VALUES (?, ?, ?, ?, ?, ?, ?)",
             params![who, run, sequence, complete, marked, ended, lost],
         )?;
+        let doubt = doubts(&begin, Some(who))?;
+        let runs: BTreeSet<_> = doubted.keys().chain(doubt.keys()).copied().collect();
+        for run in runs.into_iter().filter(|run| doubted.get(run) != doubt.get(run)) {
+            let both = [doubted.get(&run), doubt.get(&run)];
+            let past = both.iter().flatten().map(|it| it.0).min().unwrap_or_default();
+            let since = both.iter().flatten().map(|it| it.1).min().unwrap_or_default();
+            note_doubt(&begin, run, past, since, bounds)?;
+        }
         begin.commit()?;
         Ok(ingested)
     }
@@ -415,15 +423,7 @@
 
     /// The records that arrived from `from` up to without `until`, in the order of their ids, one after another.
     fn each(db: &Connection, from: i64, until: i64, mut with: impl FnMut(Try)) -> Result<()> {
-        // A run in doubt: a later one of its member began and it never said that it ended.
-        let mut runs = db.prepare(
-            "SELECT member, incarnation, marked FROM position p WHERE NOT ended
-               AND EXISTS (SELECT 1 FROM position o WHERE o.member = p.member AND o.incarnation > p.incarnation)",
-        )?;
-        let doubt = runs.query_map([], |row| {
-            Ok(((row.get::<_, u32>(0)?, row.get::<_, u64>(1)?), row.get::<_, u64>(2)?))
-        })?;
-        let doubt: HashMap<(u32, u64), u64> = doubt.collect::<rusqlite::Result<_>>()?;
+        let doubt = doubts(db, None)?;
         let mut rows = db.prepare_cached(
             "SELECT at, member, incarnation, sequence, tenant, class, outcome, share, parts, attempts, crossed, flags,
                key, give_up FROM record WHERE at >= ? AND at < ? ORDER BY at, member, incarnation, sequence",
@@ -432,7 +432,7 @@
         while let Some(row) = rows.next()? {
             let mut one = read_try(row)?;
             one.doubtful =
-                doubt.get(&(one.member, one.incarnation)).is_some_and(|marked| one.sequence > *marked);
+                doubt.get(&(one.member, one.incarnation)).is_some_and(|(marked, _)| one.sequence > *marked);
             with(one);
         }
         Ok(())
@@ -768,11 +768,16 @@
     })
 }
 
-/// A record has come for a time whose period is closed, or that no period was ever made for.
-fn note_late(db: &Connection, at: i64, calendar: &Calendar) -> Result<()> {
-    let noted =
-        db.prepare_cached("UPDATE period SET dirty = 1 WHERE start <= ? AND end > ?")?.execute([at, at])?;
-    if noted == 0 {
+/// A record has come that closed periods should have seen, or for a time that no period was ever made for.
+fn note_late(db: &Connection, at: i64, closed: bool, calendar: &Calendar, bounds: Bounds) -> Result<()> {
+    db.prepare_cached("UPDATE period SET dirty = 1 WHERE start - ?2 <= ?1 AND end + ?3 > ?1")?.execute([
+        at,
+        bounds.skew,
+        bounds.after(),
+    ])?;
+    let held = "SELECT count(*) FROM period WHERE start <= ? AND end > ?";
+    let held: i64 = db.prepare_cached(held)?.query_row([at, at], |row| row.get(0))?;
+    if closed && held == 0 {
         let period = calendar.at(at);
         // Not over its neighbours, should the calendar have been another then.
         let after = "SELECT min(start) FROM period WHERE start > ?";
@@ -786,20 +791,26 @@
     Ok(())
 }
 
-/// A member has begun another run. If the one before has not said that it ended, it died, and whoever retried what
-/// it had answered last may be joined to that now: periods closed with the other reading are settled again.
-fn note_death(db: &Connection, member: u32, run: i64) -> Result<()> {
-    let last = "SELECT incarnation, marked FROM position WHERE member = ? AND incarnation < ? AND NOT ended
-        ORDER BY incarnation DESC LIMIT 1";
-    let last: Option<(i64, i64)> =
-        db.query_row(last, [i64::from(member), run], |row| Ok((row.get(0)?, row.get(1)?))).optional()?;
-    if let Some((run, marked)) = last {
-        db.execute(
-            "UPDATE period SET dirty = 1 WHERE EXISTS (SELECT 1 FROM record WHERE at >= start AND at < end
-               AND member = ? AND incarnation = ? AND sequence > ?)",
-            [i64::from(member), run, marked],
-        )?;
-    }
+/// The runs of which the last answers are in doubt: a later one of their member began and they never said that they
+/// ended. For each the sequence past which they are, and the time before which nothing past it can have arrived.
+fn doubts(db: &Connection, member: Option<u32>) -> Result<HashMap<(u32, u64), (u64, i64)>> {
+    let mut runs = db.prepare_cached(
+        "SELECT member, incarnation, marked, complete FROM position p WHERE NOT ended AND member = coalesce(?, member)
+           AND EXISTS (SELECT 1 FROM position o WHERE o.member = p.member AND o.incarnation > p.incarnation)",
+    )?;
+    let runs =
+        runs.query_map([member], |row| Ok(((row.get(0)?, row.get(1)?), (row.get(2)?, row.get(3)?))))?;
+    Ok(runs.collect::<rusqlite::Result<_>>()?)
+}
+
+/// A run's last answers have come into doubt, or out of it: whoever retried them may be joined otherwise now, and
+/// periods closed with the other reading are settled again.
+fn note_doubt(db: &Connection, run: (u32, u64), past: u64, since: i64, bounds: Bounds) -> Result<()> {
+    db.execute(
+        "UPDATE period SET dirty = 1 WHERE end + ?6 > ?4 AND EXISTS (SELECT 1 FROM record
+           WHERE at >= max(start - ?5, ?4) AND at < end + ?6 AND member = ?1 AND incarnation = ?2 AND sequence > ?3)",
+        params![run.0, run.1 as i64, past as i64, since, bounds.skew, bounds.after()],
+    )?;
     Ok(())
 }
 
--- a/crates/standins/src/bin/cottonhill-demo.rs
+++ b/crates/standins/src/bin/cottonhill-demo.rs
@@ -67,7 +67,8 @@
             key: None,
         };
         let id = format!("demo-{n}");
-        let attempt = Attempt { id: &id, retry: false, wait: Duration::from_millis(class.2) };
+        let (wait, grace) = (Duration::from_millis(class.2), Duration::ZERO);
+        let attempt = Attempt { id: &id, retry: false, wait, grace };
         let at = random.random_range(0..connections.len());
         let count = match connections[at].ask(&question, &attempt).await {
             Got::Answer(..) => &counts.answered,
@@ -86,7 +87,13 @@
 
 async fn run(line: Line) -> std::io::Result<bool> {
     let folder = tempfile::tempdir()?;
-    let plan = Plan { seed: line.seed, work: Duration::from_millis(8), usage: true, ledger: LEDGER.into() };
+    let plan = Plan {
+        seed: line.seed,
+        work: Duration::from_millis(8),
+        slots: 16,
+        usage: true,
+        ledger: LEDGER.into(),
+    };
     let mut installation = Installation::start(folder.path(), plan).await?;
     installation.start_settlement()?;
     let mixers: Vec<SocketAddr> = installation.mixers.iter().map(|mixer| mixer.address).collect();
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -29,7 +29,10 @@
 pub struct Attempt<'a> {
     pub id: &'a str,
     pub retry: bool,
+    /// How long it tells the mixer that it waits.
     pub wait: Duration,
+    /// How much longer it does, should the answer be late.
+    pub grace: Duration,
 }
 
 /// How a try ended for its client.
@@ -85,7 +88,7 @@
 
     /// Asks once. A connection that the mixer has closed before it took anything is opened anew.
     pub async fn ask(&mut self, question: &Question, attempt: &Attempt<'_>) -> Got {
-        match timeout(attempt.wait, self.exchange(question, attempt)).await {
+        match timeout(attempt.wait + attempt.grace, self.exchange(question, attempt)).await {
             Ok(Some((200, body, _))) => answer(&body).unwrap_or(Got::Failed(200)),
             Ok(Some((429 | 503, _, after))) => Got::Refused(after),
             Ok(Some((status, ..))) => Got::Failed(status),
--- a/crates/standins/src/installation.rs
+++ b/crates/standins/src/installation.rs
@@ -30,6 +30,8 @@
     pub seed: u64,
     /// The middle of a part's time at a leaf server.
     pub work: Duration,
+    /// Parts that a leaf server works on at once.
+    pub slots: usize,
     /// Whether mixers keep a usage log.
     pub usage: bool,
     /// Sections of the settlement's settings beside its store and members.
@@ -165,16 +167,26 @@
         Ok(installation)
     }
 
-    /// Starts a mixer, also one that was killed, and waits until it is ready.
+    /// Starts a mixer's process and leaves it to itself.
     ///
     /// # Errors
-    /// It does not come up within 10 s.
-    pub async fn start_mixer(&mut self, at: usize) -> io::Result<()> {
+    /// It can't be started.
+    pub fn launch_mixer(&mut self, at: usize) -> io::Result<()> {
         let mixer = &mut self.mixers[at];
         let mut command = Command::new(&self.program);
         command.arg("--config").arg(&mixer.config).arg("--settings").arg(&mixer.settings);
         command.env_remove("BALANCER_CONFIG").env_remove("COTTONHILL_SETTINGS").env_remove("COTTONHILL_LOG");
         mixer.process = Some(Process::start(&mut command, &mixer.log)?);
+        Ok(())
+    }
+
+    /// Starts a mixer, also one that was killed, and waits until it is ready.
+    ///
+    /// # Errors
+    /// It does not come up within 10 s.
+    pub async fn start_mixer(&mut self, at: usize) -> io::Result<()> {
+        self.launch_mixer(at)?;
+        let mixer = &self.mixers[at];
         for _ in 0..500 {
             if get(mixer.address, "/-/ready").await.is_some_and(|(status, _)| status == 200) {
                 return Ok(());
@@ -203,8 +215,13 @@
         let mut lines = Vec::new();
         for (i, slot) in self.slots.iter_mut().enumerate().filter(|(_, slot)| slot.zone == zone) {
             slot.starts += 1;
-            let leaf =
-                Leaf::start(self.ip, self.plan.work, self.plan.seed ^ (i as u64) << 32 ^ slot.starts).await?;
+            let leaf = Leaf::start(
+                self.ip,
+                self.plan.work,
+                self.plan.slots,
+                self.plan.seed ^ (i as u64) << 32 ^ slot.starts,
+            )
+            .await?;
             let since = if cold { now_ms() } else { 0 };
             let line = |starts: u64, status: &str, address: SocketAddr| {
                 json!({"name": format!("s-{i}-{starts}"), "address": address, "zone": ZONES[zone], "type": "m",
--- a/crates/standins/src/leaf.rs
+++ b/crates/standins/src/leaf.rs
@@ -4,7 +4,7 @@
 use rand::{Rng, SeedableRng};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -22,6 +22,9 @@
     pub connections: AtomicU64,
     pub parts: AtomicU64,
     pub given_up: AtomicU64,
+    /// Turned away, as more was under way than it takes.
+    pub busy: AtomicU64,
+    under_way: AtomicUsize,
 }
 
 /// A leaf server that runs until it is dropped; then its connections break at once, as a dead process's do.
@@ -38,27 +41,28 @@
 }
 
 impl Leaf {
-    /// Serves on a free port; a part takes between half of and one and a half times `work`.
+    /// Serves on a free port; a part takes between half of and one and a half times `work`, and of more than `slots`
+    /// at once the rest is turned away.
     ///
     /// # Errors
     /// There is no port.
-    pub async fn start(ip: IpAddr, work: Duration, seed: u64) -> io::Result<Leaf> {
+    pub async fn start(ip: IpAddr, work: Duration, slots: usize, seed: u64) -> io::Result<Leaf> {
         let listener = TcpListener::bind((ip, 0)).await?;
         let address = listener.local_addr()?;
         let seen = Arc::<Seen>::default();
-        let task = tokio::spawn(accept(listener, work, seed, seen.clone())).abort_handle();
+        let task = tokio::spawn(accept(listener, (work, slots), seed, seen.clone())).abort_handle();
         Ok(Leaf { address, seen, task })
     }
 }
 
-async fn accept(listener: TcpListener, work: Duration, seed: u64, seen: Arc<Seen>) {
+async fn accept(listener: TcpListener, power: (Duration, usize), seed: u64, seen: Arc<Seen>) {
     // Ends with this task: what is accepted lives no longer than the server.
     let mut connections = JoinSet::new();
     for n in 0u64.. {
         let Ok((stream, _)) = listener.accept().await else { return };
         seen.connections.fetch_add(1, Ordering::Relaxed);
         let random = StdRng::seed_from_u64(seed ^ n.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        connections.spawn(serve(stream, work, random, seen.clone()));
+        connections.spawn(serve(stream, power, random, seen.clone()));
         while connections.try_join_next().is_some() {}
     }
 }
@@ -80,7 +84,7 @@
     Some(frame)
 }
 
-async fn serve(stream: TcpStream, work: Duration, mut random: StdRng, seen: Arc<Seen>) {
+async fn serve(stream: TcpStream, (work, slots): (Duration, usize), mut random: StdRng, seen: Arc<Seen>) {
     let _ = stream.set_nodelay(true);
     let (mut read, mut write) = stream.into_split();
     let (answers, mut ready) = mpsc::channel::<Vec<u8>>(1024);
@@ -102,9 +106,16 @@
                 for (id, shard, text) in asked {
                     seen.parts.fetch_add(1, Ordering::Relaxed);
                     let wait = work.mul_f64(random.random_range(0.5..1.5));
-                    let answers = answers.clone();
+                    let (answers, seen) = (answers.clone(), seen.clone());
+                    if seen.under_way.fetch_add(1, Ordering::Relaxed) >= slots {
+                        seen.under_way.fetch_sub(1, Ordering::Relaxed);
+                        seen.busy.fetch_add(1, Ordering::Relaxed);
+                        let _ = answers.send(frame(b'A', format!("{id} busy - -\n").as_bytes())).await;
+                        continue;
+                    }
                     parts.spawn(async move {
                         tokio::time::sleep(wait).await;
+                        seen.under_way.fetch_sub(1, Ordering::Relaxed);
                         let line = format!("{id} ok 1 -\n{}", value(shard, &text));
                         let _ = answers.send(frame(b'A', line.as_bytes())).await;
                     });
