Count records by tenant and class at the mixer; state what the ledger costs and how fast it is

Change: /-/stats tells records by tenant and class where a usage log is kept, and reconcile compares each; bench-ledger loads mixers lightly and heavily.

--- a/crates/cottonhill/src/commands.rs
+++ b/crates/cottonhill/src/commands.rs
@@ -18,6 +18,7 @@
 use cottonhill_mixer::routing::usage;
 use indicatif::{ProgressBar, ProgressDrawTarget};
 use serde_json::{json, Value};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::IsTerminal;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -553,13 +554,18 @@
         let text = std::fs::read_to_string(file).map_err(|e| Failure::running(format!("{file}: {e}")))?;
         let stats: Value =
             serde_json::from_str(&text).map_err(|e| Failure::running(format!("{file}: {e}")))?;
-        let recorded = stats["recorded"].as_u64().unwrap_or_default();
-        let known =
-            standings.iter().find(|standing| standing.member == name).map_or(0, |s| s.position.sequence);
-        if recorded != known {
+        let standing = standings.iter().find(|standing| standing.member == name);
+        let incarnation = standing.map_or(0, |standing| standing.position.incarnation);
+        let ours = store.recorded(name, incarnation).map_err(Failure::running)?;
+        let theirs: BTreeMap<String, u64> =
+            serde_json::from_value(stats["recorded_of"].clone()).unwrap_or_default();
+        let both: BTreeSet<&String> = ours.keys().chain(theirs.keys()).collect();
+        for of in both.into_iter().filter(|of| ours.get(*of) != theirs.get(*of)) {
             wrong += 1;
-            let text =
-                format!("mixer {name}: it has recorded {recorded} in this run, the ledger holds {known}\n");
+            let [theirs, ours] = [&theirs, &ours].map(|side| side.get(of).copied().unwrap_or_default());
+            let text = format!(
+                "mixer {name}, {of}: it has recorded {theirs} in this run, the ledger holds {ours}\n"
+            );
             output::print(text.as_bytes())?;
         }
     }
--- a/crates/ledger/src/store.rs
+++ b/crates/ledger/src/store.rs
@@ -410,6 +410,18 @@
         Ok(rows.collect::<rusqlite::Result<_>>()?)
     }
 
+    /// Records of one run of a member, by `TENANT CLASS` as the mixer's own counters have them.
+    pub fn recorded(&self, member: &str, incarnation: u64) -> Result<BTreeMap<String, u64>> {
+        let mut rows = self.db.prepare(
+            "SELECT t.text || ' ' || c.text, count(*) FROM record r JOIN name t ON t.id = r.tenant
+             JOIN name c ON c.id = r.class JOIN name m ON m.id = r.member
+             WHERE m.kind = 'member' AND m.text = ? AND r.incarnation = ? GROUP BY 1",
+        )?;
+        let rows =
+            rows.query_map(params![member, incarnation as i64], |row| Ok((row.get(0)?, row.get(1)?)))?;
+        Ok(rows.collect::<rusqlite::Result<_>>()?)
+    }
+
     /// The period to close next; none before the first record.
     pub fn next_period(&self, calendar: &Calendar) -> Result<Option<Period>> {
         let last = "SELECT max(end) FROM period WHERE start IN (SELECT period FROM statement)";
--- a/crates/mixer/src/routing/counters.rs
+++ b/crates/mixer/src/routing/counters.rs
@@ -1,6 +1,7 @@
 //! What the mixer has taken, sent and answered since its start.
 
 use serde::Serialize;
+use std::collections::BTreeMap;
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Counters {
@@ -12,6 +13,9 @@
     pub lists: u64,
     /// Records of use handed on; 0 where none are kept.
     pub recorded: u64,
+    /// Of the records, those of each tenant and class that the settings name: `TENANT CLASS`.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub recorded_of: BTreeMap<String, u64>,
     pub reloads: Reloads,
     /// What must never happen; each is logged with its cause.
     pub faults: Faults,
--- a/crates/mixer/src/routing/state/usage.rs
+++ b/crates/mixer/src/routing/state/usage.rs
@@ -66,6 +66,10 @@
         recording.sequence += 1;
         usage.sequence = recording.sequence;
         self.counters.recorded += 1;
+        // Where the platform names no tenants, all use is one's.
+        let tenant = self.site.tenants.get(usage.tenant as usize).map_or("all", String::as_str);
+        let class = self.site.classes.get(usize::from(usage.class)).map_or("", String::as_str);
+        *self.counters.recorded_of.entry(format!("{tenant} {class}")).or_default() += 1;
         self.effects.push(Effect::Record(usage));
     }
 
--- a/crates/mixer/tests/usage.rs
+++ b/crates/mixer/tests/usage.rs
@@ -53,7 +53,10 @@
     assert_eq!(bed.records[1].outcome, Outcome::Left);
     let numbers: Vec<u64> = bed.records.iter().map(|it| it.sequence).collect();
     assert_eq!(numbers, (1..=numbers.len() as u64).collect::<Vec<_>>(), "without a gap");
-    assert_eq!(bed.state.counters().recorded, numbers.len() as u64);
+    let counters = bed.state.counters();
+    assert_eq!(counters.recorded, numbers.len() as u64);
+    assert_eq!(counters.recorded_of.values().sum::<u64>(), counters.recorded);
+    assert_eq!(counters.recorded_of.keys().collect::<Vec<_>>(), ["all lookup"]);
 }
 
 #[test]
--- a/crates/standins/src/bin/cottonhill-bench-ledger.rs
+++ b/crates/standins/src/bin/cottonhill-bench-ledger.rs
@@ -43,7 +43,10 @@
     latency: Histogram<u64>,
 }
 
-async fn load(mixer: SocketAddr, client: u64, until: Instant) -> Histogram<u64> {
+/// Milliseconds between a client's queries, from and up to: a tenth of what a mixer can do, and most of it.
+const GAPS: [(&str, u64, u64); 2] = [("light", 20, 40), ("heavy", 0, 3)];
+
+async fn load(mixer: SocketAddr, client: u64, gap: (u64, u64), until: Instant) -> Histogram<u64> {
     let mut random = StdRng::seed_from_u64(client);
     let mut connection = Connection::new(mixer);
     let mut latency = Histogram::new(3).unwrap_or_else(|e| panic!("three digits are allowed: {e}"));
@@ -66,18 +69,18 @@
         if let Got::Answer(..) = connection.ask(&question, &attempt).await {
             let _ = latency.record(began.elapsed().as_micros() as u64);
         }
-        tokio::time::sleep(Duration::from_millis(random.random_range(20..40))).await;
+        tokio::time::sleep(Duration::from_millis(random.random_range(gap.0..gap.1))).await;
     }
     latency
 }
 
-async fn slice(installation: &Installation, seconds: u64) -> io::Result<Slice> {
+async fn slice(installation: &Installation, seconds: u64, gap: (u64, u64)) -> io::Result<Slice> {
     let used = || {
         installation.mixers[0].process.as_ref().and_then(|process| process.used()).map_or(0.0, |used| used.0)
     };
     let (before, until) = (used(), Instant::now() + Duration::from_secs(seconds));
     let clients =
-        (0..CLIENTS).map(|client| tokio::spawn(load(installation.mixers[0].address, client, until)));
+        (0..CLIENTS).map(|client| tokio::spawn(load(installation.mixers[0].address, client, gap, until)));
     let mut latency = Histogram::new(3).map_err(io::Error::other)?;
     for client in clients.collect::<Vec<_>>() {
         latency.add(client.await.map_err(io::Error::other)?).map_err(io::Error::other)?;
@@ -97,25 +100,34 @@
     let folders = (tempfile::tempdir()?, tempfile::tempdir()?);
     let off = Installation::start(folders.0.path(), plan(false)).await?;
     let on = Installation::start(folders.1.path(), plan(true)).await?;
+    for (name, least, most) in GAPS {
+        under(line, name, (least, most), &off, &on).await?;
+    }
+    Ok(())
+}
+
+async fn under(
+    line: &Line, name: &str, gap: (u64, u64), off: &Installation, on: &Installation,
+) -> io::Result<()> {
     let (mut ratios, mut p99, mut cpus) = (Vec::new(), Vec::new(), (Vec::new(), Vec::new()));
     let mut all = (
         Histogram::<u64>::new(3).map_err(io::Error::other)?,
         Histogram::<u64>::new(3).map_err(io::Error::other)?,
     );
-    slice(&off, 1).await?;
-    slice(&on, 1).await?;
+    slice(off, 1, gap).await?;
+    slice(on, 1, gap).await?;
     for pair in 0..line.pairs {
         // Each goes first every other time.
         let (with, without) = if pair % 2 == 0 {
-            let with = slice(&on, line.seconds).await?;
-            (with, slice(&off, line.seconds).await?)
+            let with = slice(on, line.seconds, gap).await?;
+            (with, slice(off, line.seconds, gap).await?)
         } else {
-            let without = slice(&off, line.seconds).await?;
-            (slice(&on, line.seconds).await?, without)
+            let without = slice(off, line.seconds, gap).await?;
+            (slice(on, line.seconds, gap).await?, without)
         };
         let ms = |slice: &Slice| slice.latency.value_at_quantile(0.99) as f64 / 1000.0;
         println!(
-            "pair {pair}: off {:.0} us a query, p99 {:.2} ms, {} queries; on {:.0} us, {:.2} ms, {} queries",
+            "{name} load, pair {pair}: off {:.0} us a query, p99 {:.2} ms, {} queries; on {:.0} us, {:.2} ms, {} queries",
             without.cpu_us,
             ms(&without),
             without.queries,
@@ -136,7 +148,7 @@
     };
     let (low, high) = spread(&ratios);
     println!(
-        "processor time a query, on to off: {:.3} (median of {} pairs; {low:.3} to {high:.3}); \
+        "{name} load: processor time a query, on to off: {:.3} (median of {} pairs; {low:.3} to {high:.3}); \
          {:.0} us on, {:.0} us off",
         median(ratios.clone()),
         ratios.len(),
@@ -146,7 +158,7 @@
     let (low, high) = spread(&p99);
     let whole = |histogram: &Histogram<u64>| histogram.value_at_quantile(0.99) as f64 / 1000.0;
     println!(
-        "p99 of the answer, on less off: {:+.2} ms (median of pairs; {low:+.2} to {high:+.2}); \
+        "{name} load: p99 of the answer, on less off: {:+.2} ms (median of pairs; {low:+.2} to {high:+.2}); \
          all together {:.2} ms on, {:.2} ms off",
         median(p99),
         whole(&all.1),
