Serve OpenSearch-style searches on the same core; prove each merged page exact

Need: member libraries' storefronts speak an OpenSearch-style API. Change: a front on hyper that asks the reducer through transport::Door, a typed query language that refuses what it does not know by its path, a merge with one order and honest _shards, search, count and msearch; stand-ins that search and are sick on cue; make prove-opensearch. The driver arms one timer for alarms and held replies. Found by a test: serde takes an array for a struct, so {"bool": []} matched everything; objects only now. Off unless the settings name an address.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo prove-ledger bench-ledger
+.PHONY: build test lint run demo prove-ledger bench-ledger prove-opensearch
 
 build:
 	cargo build --release --locked
@@ -27,3 +27,7 @@
 # The log on against off, and the settlement at size.
 bench-ledger: build
 	exec target/release/cottonhill-bench-ledger $(ARGS)
+
+# The same searches through both fronts, each page against the exact one.
+prove-opensearch: build
+	exec target/release/cottonhill-prove-opensearch $(ARGS)
--- a/crates/cottonhill/src/check.rs
+++ b/crates/cottonhill/src/check.rs
@@ -5,11 +5,13 @@
 use comfy_table::Table;
 use cottonhill_ini::Origin;
 use cottonhill_ledger::settings::{Ledger, UsageLog};
+use cottonhill_opensearch::index::Front;
 
 pub fn run(files: &Files) -> Done {
     let own = settings::read(files)?;
     UsageLog::read(&own, &settings::SCHEMA).map_err(Failure::configuration)?;
     Ledger::read(&own, &settings::SCHEMA).map_err(Failure::configuration)?;
+    Front::read(&own, &settings::SCHEMA).map_err(Failure::configuration)?;
     let mut table = Table::new();
     table.load_preset(comfy_table::presets::NOTHING).set_header(["SETTING", "VALUE", "FROM", "CHANGES"]);
     let mut row = |name: &str, value: &str, from: &str, live: bool| {
--- a/crates/cottonhill/src/main.rs
+++ b/crates/cottonhill/src/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod commands;
+mod fronts;
 mod logs;
 mod output;
 mod program;
--- a/crates/cottonhill/src/program.rs
+++ b/crates/cottonhill/src/program.rs
@@ -3,7 +3,7 @@
 use crate::logs::Logs;
 use crate::output::{Done, Failure};
 use crate::recorder::UsageLogRecorder;
-use crate::{settings, Files};
+use crate::{fronts, settings, Files};
 use cottonhill_ini::Settings;
 use cottonhill_ledger::settings::UsageLog;
 use cottonhill_ledger::writer;
@@ -82,6 +82,7 @@
     let (tell, told) = mpsc::channel(1);
     let Config { name, listen, site, settings, seed, descriptors, known, addresses, names } =
         running.config.clone();
+    let own = running.own.clone();
     let running = Rc::new(running);
     // A planned end, by the platform or by whoever has it in a terminal; and a new configuration.
     for kind in [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()] {
@@ -119,6 +120,16 @@
     let listener = listener.map_err(|e| Failure::running(format!("cannot listen on {listen}: {e}")))?;
     let recorder =
         recorder.map(|recorder| Box::new(UsageLogRecorder(recorder)) as Box<dyn transport::Recorder>);
-    let served = transport::serve(state, clock, names, listener, addresses, told, recorder).await;
+    let fronts = fronts::open(&own).await?;
+    let served = transport::serve(
+        state,
+        clock,
+        names,
+        listener,
+        addresses,
+        told,
+        transport::Beside { recorder, fronts },
+    )
+    .await;
     served.map_err(|e| Failure::running(format!("cannot listen for other mixers: {e}")))
 }
--- a/crates/cottonhill/src/settings.rs
+++ b/crates/cottonhill/src/settings.rs
@@ -5,6 +5,7 @@
 use crate::Files;
 use cottonhill_ini::{Schema, Settings};
 use cottonhill_ledger::settings as ledger;
+use cottonhill_opensearch::index;
 
 pub const SCHEMA: Schema = Schema(&[
     logs::SECTION,
@@ -15,6 +16,8 @@
     ledger::PRICE,
     ledger::TENANT,
     ledger::EXPORT,
+    index::FRONT,
+    index::INDEX,
 ]);
 
 /// Reads the settings that the command line or the environment names; the defaults where neither does.
--- a/crates/mixer/src/config.rs
+++ b/crates/mixer/src/config.rs
@@ -61,6 +61,7 @@
             classes: site.classes.clone(),
             tenants: site.tenants.clone(),
             deadlines: site.deadlines.clone(),
+            floors: site.floors.clone(),
             shards: site.shards,
         };
         let addresses = Addresses {
--- a/crates/mixer/src/protocol/query.rs
+++ b/crates/mixer/src/protocol/query.rs
@@ -14,6 +14,8 @@
     pub tenants: Vec<String>,
     /// For each class, how long a client waits that does not say.
     pub deadlines: Vec<Nanos>,
+    /// For each class, the least share of the weight that an answer may rest on.
+    pub floors: Vec<f64>,
     pub shards: u32,
 }
 
--- a/crates/mixer/src/transport/clients.rs
+++ b/crates/mixer/src/transport/clients.rs
@@ -33,7 +33,7 @@
 
 /// Accepts until it is aborted.
 pub async fn listen(shared: Shared, listener: TcpListener, most: usize) {
-    for client in 1.. {
+    loop {
         while shared.clients.borrow().len() >= most + MOST_CLOSING {
             shared.client_ended.notified().await;
         }
@@ -46,6 +46,7 @@
                 }
             }
         };
+        let client = shared.client();
         let (commands, receiver) = mpsc::channel(MOST_COMMANDS);
         shared.clients.borrow_mut().insert(client, commands);
         tokio::task::spawn_local(attend(shared.clone(), client, stream, receiver));
--- a/crates/mixer/src/transport/ledger.rs
+++ b/crates/mixer/src/transport/ledger.rs
@@ -5,7 +5,7 @@
 use crate::routing::ClientId;
 use std::collections::VecDeque;
 use tokio::sync::watch;
-use tokio::time::{timeout_at, Duration, Instant};
+use tokio::time::{Duration, Instant};
 
 /// Where records of use go. None of this may block: it is called between the sockets' turns.
 pub trait Recorder {
@@ -72,13 +72,18 @@
         }
     }
 
-    /// Returns once a reply may go; never while none is held.
+    /// When the first reply held has waited for long enough.
+    pub fn until(&self) -> Option<Instant> {
+        self.held.front().map(|held| held.until)
+    }
+
+    /// Returns once records were written that replies wait for; never while none is held.
     pub async fn progress(&mut self) {
-        let Some(until) = self.held.front().map(|held| held.until) else {
+        if self.held.is_empty() {
             return std::future::pending().await;
-        };
-        // Past its time, or with the writer gone, the reply goes without its record.
-        if let Ok(Err(_)) = timeout_at(until, self.written.changed()).await {
+        }
+        if self.written.changed().await.is_err() {
+            // The writer is gone: there is nothing to wait for.
             self.held.iter_mut().for_each(|held| held.until = Instant::now());
         }
     }
@@ -169,7 +174,7 @@
         assert_eq!(ledger.release().map(|r| (r.0, r.2)), Some((2, true)));
         assert!(ledger.release().is_none());
         let began = Instant::now();
-        ledger.progress().await;
+        tokio::time::sleep_until(ledger.until().unwrap()).await;
         assert_eq!(ledger.release().map(|r| r.0), Some(3));
         assert_eq!((began.elapsed(), without.get()), (Duration::from_millis(5), 1));
     }
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -3,6 +3,7 @@
 
 mod clients;
 mod clock;
+mod door;
 mod leaf;
 mod ledger;
 mod peers;
@@ -10,6 +11,7 @@
 mod watch;
 
 pub use clock::Clock;
+pub use door::Door;
 pub use ledger::Recorder;
 
 use crate::protocol::query::{Names, Reply};
@@ -17,13 +19,13 @@
 use futures_util::StreamExt;
 use ledger::Ledger;
 use pool::Pool;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, watch as latest, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::error::Elapsed;
 use tokio::time::{sleep, sleep_until, timeout_at, Duration, Instant};
@@ -64,6 +66,27 @@
     /// Told whenever a client's connection has ended: there may be room for one more.
     client_ended: Rc<Notify>,
     names: Rc<Names>,
+    last_client: Rc<Cell<ClientId>>,
+    /// Set once no more connections are to be taken.
+    stopped: Rc<latest::Sender<bool>>,
+}
+
+impl Shared {
+    /// A number for one more client.
+    fn client(&self) -> ClientId {
+        self.last_client.set(self.last_client.get() + 1);
+        self.last_client.get()
+    }
+}
+
+/// Starts a front of another protocol; called once the reducer can be asked.
+pub type StartFront = Box<dyn FnOnce(Door)>;
+
+/// What runs beside the native front, where it is on.
+#[derive(Default)]
+pub struct Beside {
+    pub recorder: Option<Box<dyn Recorder>>,
+    pub fronts: Vec<StartFront>,
 }
 
 struct Driver {
@@ -119,7 +142,7 @@
 /// Serves on `listener` until the reducer asks for the end. Must run inside a `LocalSet`.
 pub async fn serve(
     mut state: State, clock: Clock, names: Names, listener: TcpListener, addresses: Addresses,
-    mut told: mpsc::Receiver<Told>, recorder: Option<Box<dyn Recorder>>,
+    mut told: mpsc::Receiver<Told>, beside: Beside,
 ) -> io::Result<()> {
     let (inputs, mut arrived) = mpsc::channel(MOST_INPUTS);
     let shared = Shared {
@@ -129,6 +152,8 @@
         clients: Rc::default(),
         client_ended: Rc::default(),
         names: Rc::new(names),
+        last_client: Rc::default(),
+        stopped: Rc::new(latest::channel(false).0),
     };
     let udp = match addresses.peer_listen {
         Some(at) => Some(Udp::start(&shared, Rc::new(UdpSocket::bind(at).await?), &addresses)),
@@ -137,10 +162,13 @@
     let listener = tokio::task::spawn_local(clients::listen(shared.clone(), listener, state.most_clients()));
     let listener = listener.abort_handle();
     let watch = watch(&shared, addresses.discovery, state.list_index());
-    let ledger = recorder.map(Ledger::new);
+    beside.fronts.into_iter().for_each(|start| start(Door::new(shared.clone())));
+    let ledger = beside.recorder.map(Ledger::new);
     let mut driver = Driver { shared, links: HashMap::new(), udp, listener, watch, ledger, exited: false };
     while !driver.exited {
-        let due = state.next_due().map(|at| clock.instant(at));
+        // One timer for both: to arm another for each turn costs more than what it is for.
+        let held = driver.ledger.as_ref().and_then(Ledger::until);
+        let due = state.next_due().map(|at| clock.instant(at)).into_iter().chain(held).min();
         tokio::select! {
             biased;
             Some(told) = told.recv() => {
@@ -169,6 +197,7 @@
             () = sleep_until(due.unwrap_or_else(|| clock.instant(0))), if due.is_some() => {}
         }
         driver.put(&mut state, clock.now(), Input::Turn);
+        driver.release();
     }
     driver.close_ledger();
     sleep(LAST_FLUSH).await;
@@ -243,7 +272,10 @@
                 self.watch.abort();
                 self.watch = watch(&self.shared, address, from);
             }
-            Effect::StopListening => self.listener.abort(),
+            Effect::StopListening => {
+                self.listener.abort();
+                self.shared.stopped.send_replace(true);
+            }
             Effect::Exit(counters) => {
                 let text = serde_json::to_string(&*counters).unwrap_or_default();
                 tracing::info!(counters = text, "served all that was taken");
--- a/crates/mixer/tests/protocol.rs
+++ b/crates/mixer/tests/protocol.rs
@@ -17,7 +17,13 @@
 
 fn names() -> Names {
     let classes = vec!["checkout".to_string()];
-    Names { classes, tenants: vec!["acme".into()], deadlines: vec![5_000_000_000], shards: 4 }
+    Names {
+        classes,
+        tenants: vec!["acme".into()],
+        deadlines: vec![5_000_000_000],
+        floors: vec![0.6],
+        shards: 4,
+    }
 }
 
 fn post(path: &str, extra: &str, body: &str) -> String {
@@ -94,7 +100,9 @@
 
 #[test]
 fn a_query_is_read_as_sent() {
-    let Ok(Asked::Query(query)) = asked(&post("/checkout?x=1", "X-Retried: 1\r\n", QUERY)) else { panic!() };
+    let headers = "X-Retried: 1\r\nIdempotency-Key: k 1\r\n";
+    let Ok(Asked::Query(query)) = asked(&post("/checkout?x=1", headers, QUERY)) else { panic!() };
+    assert_eq!(query.idempotency_key.as_deref(), Some("k 1"));
     assert_eq!((query.name.as_str(), query.class, query.tenant), ("9b1f", 0, 0));
     assert_eq!((query.timeout, query.repeat), (480_000_000, true));
     assert_eq!((query.parts[0].shard, query.parts[0].work), (3, Some(9_000_000)));
@@ -115,6 +123,9 @@
         assert_eq!(status(&post("/checkout", "", QUERY).replace("480m", timeout)), 400, "{timeout}");
     }
     assert_eq!(status(&post("/checkout", "", QUERY).replace("9b1f", "9b 1f")), 400);
+    for key in [String::new(), "k".repeat(129)] {
+        assert_eq!(status(&post("/checkout", &format!("Idempotency-Key: {key}\r\n"), QUERY)), 400, "{key}");
+    }
     assert_eq!(status(&post("/checkout", "", QUERY).replace("acme", "nobody")), 400);
     assert_eq!(status(&post("/checkout", "Content-Length: 3\r\n", QUERY)), 400);
     assert_eq!(status(&post("/checkout", "Transfer-Encoding: chunked\r\n", QUERY)), 400);
--- a/crates/mixer/tests/sockets.rs
+++ b/crates/mixer/tests/sockets.rs
@@ -92,7 +92,8 @@
         let (peers, discovery) = (Vec::new(), discovery_at.1);
         let addresses = Addresses { discovery, peer_listen: None, peers, peers_all: None };
         let (_told, terminate) = mpsc::channel(1);
-        let mixer = transport::serve(state, clock, names, mixer_at.0, addresses, terminate, None);
+        let mixer =
+            transport::serve(state, clock, names, mixer_at.0, addresses, terminate, Default::default());
         tokio::select! {
             ended = mixer => panic!("the mixer ended: {ended:?}"),
             () = client(mixer_at.1) => {}
--- /dev/null
+++ b/crates/opensearch/src/index.rs
@@ -0,0 +1,151 @@
+//! From an index's name to class, shards and weights, by the settings.
+
+use cottonhill_ini::{Key, Kind, Problems, Schema, Section, Settings};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub const FRONT: Section = Section {
+    name: "opensearch",
+    named: false,
+    keys: &[
+        key("listen", Kind::Address, None, "Where the front listens; a listener of its own. Off without it."),
+        key(
+            "connections",
+            Kind::Count(1, 100_000),
+            Some("64"),
+            "Most connections at once; more wait unaccepted.",
+        ),
+        key("body", Kind::Bytes, Some("64KiB"), "The longest body that is read."),
+        key(
+            "answer",
+            Kind::Bytes,
+            Some("8MiB"),
+            "Most that the shards' answers to one search may hold together.",
+        ),
+        key("idle", Kind::Time, Some("60s"), "A connection that asks nothing for so long is closed."),
+        key("cluster", Kind::Text, Some("cottonhill"), "The cluster name that clients are told."),
+        key("tenant-header", Kind::Text, Some("X-Tenant-Id"), "The header that names the tenant."),
+        key("tenant", Kind::Text, None, "The tenant of a search that names none."),
+    ],
+};
+
+pub const INDEX: Section = Section {
+    name: "index",
+    named: true,
+    keys: &[
+        key("class", Kind::Text, None, "The class of its searches, by the platform's name."),
+        key("shards", Kind::Text, None, "Its shards: numbers and ranges, as in 0-7,12."),
+        key("weights", Kind::Text, None, "Their weights in that order, adding up to 1; equal ones if unset."),
+    ],
+};
+
+const fn key(name: &'static str, kind: Kind, default: Option<&'static str>, doc: &'static str) -> Key {
+    Key { name, kind, default, live: false, doc }
+}
+
+/// One index.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Index {
+    pub class: String,
+    /// Shards and their weights.
+    pub shards: Vec<(u32, f64)>,
+}
+
+/// All that the front is told; none where it is off.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Front {
+    pub listen: SocketAddr,
+    pub connections: usize,
+    pub most_body: usize,
+    pub most_answer: usize,
+    pub idle: Duration,
+    pub cluster: String,
+    /// In lower case.
+    pub tenant_header: String,
+    pub tenant: Option<String>,
+    pub indices: BTreeMap<String, Index>,
+}
+
+/// How far weights may be off a sum of 1.
+const ROUNDING: f64 = 0.01;
+
+/// Numbers and ranges, each once.
+fn shards(text: &str) -> Result<Vec<u32>, String> {
+    let mut all = Vec::new();
+    for piece in text.split(',').map(str::trim) {
+        let (from, to) = piece.split_once('-').unwrap_or((piece, piece));
+        let number =
+            |text: &str| text.trim().parse::<u32>().map_err(|_| format!("'{piece}' is no number or range"));
+        let (from, to) = (number(from)?, number(to)?);
+        if from > to || to - from > 100_000 {
+            return Err(format!("'{piece}' is no range"));
+        }
+        all.extend(from..=to);
+    }
+    let mut sorted = all.clone();
+    sorted.sort_unstable();
+    match sorted.windows(2).find(|pair| pair[0] == pair[1]) {
+        Some(pair) => Err(format!("shard {} is named twice", pair[0])),
+        None => Ok(all),
+    }
+}
+
+fn index_name(name: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b"-_.".contains(&b);
+    !name.starts_with(['_', '-']) && name.bytes().all(plain)
+}
+
+impl Front {
+    /// # Errors
+    /// Values that contradict each other.
+    pub fn read(settings: &Settings, schema: &Schema) -> Result<Option<Front>, Problems> {
+        let values = settings.of(schema, FRONT.name, "");
+        let Some(listen) = values.address("listen") else { return Ok(None) };
+        let mut indices = BTreeMap::new();
+        for name in settings.names(INDEX.name) {
+            let index = settings.of(schema, INDEX.name, name);
+            let wrong = |key: &str, why: &str| settings.problem(INDEX.name, name, key, why);
+            if !index_name(name) {
+                return Err(wrong("class", "an index's name has small letters, digits, '-', '_' and '.'"));
+            }
+            let class = index.text("class").ok_or_else(|| wrong("class", "is missing"))?.to_string();
+            let numbers = index.text("shards").ok_or_else(|| wrong("shards", "is missing"))?;
+            let numbers = shards(numbers).map_err(|why| wrong("shards", &why))?;
+            let weights: Vec<f64> = match index.text("weights") {
+                None => vec![1.0 / numbers.len() as f64; numbers.len()],
+                Some(text) => {
+                    let weights: Result<Vec<f64>, _> =
+                        text.split(',').map(|weight| weight.trim().parse()).collect();
+                    weights.map_err(|_| wrong("weights", "have to be numbers"))?
+                }
+            };
+            if weights.len() != numbers.len() {
+                let why = format!("are {}, and there are {} shards", weights.len(), numbers.len());
+                return Err(wrong("weights", &why));
+            }
+            let sum: f64 = weights.iter().sum();
+            if weights.iter().any(|weight| !(0.0..=1.0).contains(weight)) || (sum - 1.0).abs() > ROUNDING {
+                return Err(wrong("weights", "have to be shares that add up to 1"));
+            }
+            indices.insert(
+                name.to_string(),
+                Index { class, shards: numbers.into_iter().zip(weights).collect() },
+            );
+        }
+        if indices.is_empty() {
+            return Err(settings.problem(FRONT.name, "", "listen", "there is no [index NAME] to search"));
+        }
+        Ok(Some(Front {
+            listen,
+            connections: values.count("connections").unwrap_or(64) as usize,
+            most_body: values.bytes("body").unwrap_or(64 << 10) as usize,
+            most_answer: values.bytes("answer").unwrap_or(8 << 20) as usize,
+            idle: values.time("idle").unwrap_or(Duration::from_secs(60)),
+            cluster: values.text("cluster").unwrap_or("cottonhill").to_string(),
+            tenant_header: values.text("tenant-header").unwrap_or("X-Tenant-Id").to_ascii_lowercase(),
+            tenant: values.text("tenant").map(str::to_string),
+            indices,
+        }))
+    }
+}
--- /dev/null
+++ b/crates/opensearch/src/lib.rs
@@ -0,0 +1,11 @@
+//! An OpenSearch-style front on the mixer's core.
+//!
+//! [`dsl`], [`merge`], [`index`] and [`shape`] are pure: a request's bytes become a typed search, the shards' answers
+//! become one, and both get the shapes that clients know. [`front`] is the listener; what it takes goes through the
+//! same reducer and decisions as every native query.
+
+pub mod dsl;
+pub mod front;
+pub mod index;
+pub mod merge;
+pub mod shape;
--- a/crates/standins/src/bin/cottonhill-bench-ledger.rs
+++ b/crates/standins/src/bin/cottonhill-bench-ledger.rs
@@ -95,8 +95,14 @@
 }
 
 async fn serving(line: &Line) -> io::Result<()> {
-    let plan =
-        |usage| Plan { seed: 1, work: Duration::from_millis(4), slots: 64, usage, ledger: String::new() };
+    let plan = |usage| Plan {
+        seed: 1,
+        work: Duration::from_millis(4),
+        slots: 64,
+        usage,
+        search: false,
+        ledger: String::new(),
+    };
     let folders = (tempfile::tempdir()?, tempfile::tempdir()?);
     let off = Installation::start(folders.0.path(), plan(false)).await?;
     let on = Installation::start(folders.1.path(), plan(true)).await?;
@@ -127,7 +133,8 @@
         };
         let ms = |slice: &Slice| slice.latency.value_at_quantile(0.99) as f64 / 1000.0;
         println!(
-            "{name} load, pair {pair}: off {:.0} us a query, p99 {:.2} ms, {} queries; on {:.0} us, {:.2} ms, {} queries",
+            "{name} load, pair {pair}: off {:.0} us a query, p99 {:.2} ms, {} queries; \
+             on {:.0} us, {:.2} ms, {} queries",
             without.cpu_us,
             ms(&without),
             without.queries,
--- a/crates/standins/src/bin/cottonhill-demo.rs
+++ b/crates/standins/src/bin/cottonhill-demo.rs
@@ -92,6 +92,7 @@
         work: Duration::from_millis(8),
         slots: 16,
         usage: true,
+        search: true,
         ledger: LEDGER.into(),
     };
     let mut installation = Installation::start(folder.path(), plan).await?;
@@ -113,6 +114,12 @@
          -d '{{\"shards\":[{{\"shard\":3,\"weight\":0.5}},{{\"shard\":9,\"weight\":0.5}}],\"q\":\"c41e77d0\"}}'",
         mixers[0]
     ));
+    say("\nOr search as an OpenSearch client would:");
+    say(&format!(
+        "  curl -s http://{}/chart-ranking/_search -H 'X-Tenant-Id: alpha' -H 'Content-Type: application/json' \\\n    \
+         -d '{{\"query\":{{\"match\":{{\"title\":\"river\"}}}},\"size\":3}}'",
+        installation.mixers[0].search
+    ));
     let program = cottonhill_standins::process::beside("cottonhill")?;
     say("\nWhat it was used for, by tenant, in periods of 10 s:");
     let settings = installation.settings.display();
--- a/crates/standins/src/bin/cottonhill-prove-ledger.rs
+++ b/crates/standins/src/bin/cottonhill-prove-ledger.rs
@@ -282,7 +282,14 @@
     for (i, (class, ..)) in CLASSES.iter().enumerate() {
         let _ = write!(ledger, "[price {class}]\nwhole = {}\npartial = {}\n\n", 100 * (i + 1), 90 * (i + 1));
     }
-    let plan = Plan { seed: line.seed, work: Duration::from_millis(9), slots: 3, usage: true, ledger };
+    let plan = Plan {
+        seed: line.seed,
+        work: Duration::from_millis(9),
+        slots: 3,
+        usage: true,
+        search: false,
+        ledger,
+    };
     let mut installation = Installation::start(folder.path(), plan).await?;
     installation.start_settlement()?;
     let world = Arc::new(World {
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -55,6 +55,9 @@
     task: JoinHandle<()>,
 }
 
+/// A status, a body, and when to come back.
+pub type Received = (u16, Bytes, Option<Duration>);
+
 /// One connection to one mixer, opened as it is needed.
 pub struct Connection {
     pub mixer: SocketAddr,
@@ -103,21 +106,7 @@
         }
     }
 
-    async fn exchange(
-        &mut self, question: &Question, attempt: &Attempt<'_>,
-    ) -> Option<(u16, Bytes, Option<Duration>)> {
-        if self.open.as_ref().is_none_or(|open| open.send.is_closed()) {
-            self.close();
-            let stream = TcpStream::connect(self.mixer).await.ok()?;
-            let _ = stream.set_nodelay(true);
-            let (send, connection) = handshake(TokioIo::new(stream)).await.ok()?;
-            let task = tokio::spawn(async move {
-                let _ = connection.await;
-            });
-            self.open = Some(Open { send, task });
-        }
-        let send = &mut self.open.as_mut()?.send;
-        send.ready().await.ok()?;
+    async fn exchange(&mut self, question: &Question, attempt: &Attempt<'_>) -> Option<Received> {
         let part = |(shard, weight): &(u32, f64)| json!({"shard": shard, "weight": weight});
         let shards: Vec<Value> = question.parts.iter().map(part).collect();
         let body = json!({"shards": shards, "q": question.text}).to_string();
@@ -133,6 +122,23 @@
             request = request.header("X-Retried", "1");
         }
         let request = request.body(Full::new(Bytes::from(body))).ok()?;
+        self.send(request).await
+    }
+
+    /// Sends a request of any kind: the status, the body, and when to come back.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Option<Received> {
+        if self.open.as_ref().is_none_or(|open| open.send.is_closed()) {
+            self.close();
+            let stream = TcpStream::connect(self.mixer).await.ok()?;
+            let _ = stream.set_nodelay(true);
+            let (send, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+            let task = tokio::spawn(async move {
+                let _ = connection.await;
+            });
+            self.open = Some(Open { send, task });
+        }
+        let send = &mut self.open.as_mut()?.send;
+        send.ready().await.ok()?;
         let answer = send.send_request(request).await.ok()?;
         let after =
             answer.headers().get("retry-after").and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
--- a/crates/standins/src/installation.rs
+++ b/crates/standins/src/installation.rs
@@ -34,6 +34,8 @@
     pub slots: usize,
     /// Whether mixers keep a usage log.
     pub usage: bool,
+    /// Whether they serve the OpenSearch-style front as well.
+    pub search: bool,
     /// Sections of the settlement's settings beside its store and members.
     pub ledger: String,
 }
@@ -48,6 +50,8 @@
 pub struct Mixer {
     pub name: String,
     pub address: SocketAddr,
+    /// Where the OpenSearch-style front is, if it is on.
+    pub search: SocketAddr,
     pub usage: PathBuf,
     config: PathBuf,
     settings: PathBuf,
@@ -143,21 +147,36 @@
         for (zone, _) in ZONES.iter().enumerate() {
             let name = format!("n{zone}");
             let file = |what: &str| folder.join(format!("{name}.{what}"));
-            let (address, collect) = (free_port(ip)?, free_port(ip)?);
+            let (address, collect, search) = (free_port(ip)?, free_port(ip)?, free_port(ip)?);
             let (config, settings, usage) = (file("json"), file("ini"), file("usage"));
             let seed = installation.plan.seed ^ (zone as u64 + 1);
             let (at, known) = (installation.discovery.address, installation.discovery.known());
             fs::write(&config, format!("{:#}", platform(&name, zone, address, at, seed, &known)))?;
             let shown = usage.display();
-            let own = if installation.plan.usage {
+            let mut own = if installation.plan.usage {
                 format!("[usage]\ndirectory = {shown}\nmark = 100ms\nsegment = 64KiB\nlisten = {collect}\n")
             } else {
                 String::new()
             };
+            if installation.plan.search {
+                let _ = write!(own, "\n[opensearch]\nlisten = {search}\n");
+                for (class, ..) in CLASSES {
+                    let _ = write!(own, "\n[index {class}]\nclass = {class}\nshards = 0-{}\n", SHARDS - 1);
+                }
+            }
             fs::write(&settings, own)?;
             let _ = write!(members, "[member {name}]\naddress = {collect}\n\n");
             let log = file("log");
-            installation.mixers.push(Mixer { name, address, usage, config, settings, log, process: None });
+            installation.mixers.push(Mixer {
+                name,
+                address,
+                search,
+                usage,
+                config,
+                settings,
+                log,
+                process: None,
+            });
             installation.start_mixer(zone).await?;
         }
         let store = folder.join("ledger.sqlite");
--- a/crates/standins/src/leaf.rs
+++ b/crates/standins/src/leaf.rs
@@ -136,8 +136,13 @@
     }
 }
 
-/// The value that a shard holds for a text: anyone can tell whether an answer is what it ought to be.
+/// The value that a shard holds for a text: anyone can tell whether an answer is what it ought to be. A text that is a
+/// search is searched for.
 pub fn value(shard: u32, text: &str) -> String {
+    if text.starts_with('{') {
+        let search = serde_json::from_str(text).unwrap_or_default();
+        return crate::search::words(shard, &search);
+    }
     let mut hash = 0xcbf2_9ce4_8422_2325u64;
     for byte in shard.to_le_bytes().into_iter().chain(text.bytes()) {
         hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod leaf;
 pub mod process;
 pub mod receiver;
+pub mod search;
--- a/crates/standins/tests/installation.rs
+++ b/crates/standins/tests/installation.rs
@@ -18,6 +18,13 @@
     );
 }
 
+#[test]
+fn the_search_front_is_proved_on_a_small_run() {
+    let words = ["--queries", "600", "--clients", "6", "--seed", "5"];
+    let (proved, said) = run(env!("CARGO_BIN_EXE_cottonhill-prove-opensearch"), &words);
+    assert!(proved && said.lines().last().is_some_and(|line| line.starts_with("proved: ")), "{said}");
+}
+
 #[test]
 fn the_demonstration_prints_a_line_to_ask_and_ends_clean() {
     let (clean, said) = run(env!("CARGO_BIN_EXE_cottonhill-demo"), &["--seconds", "3"]);
