Tell a search's tenant by its network, believe trusted proxies only, take gzip both ways

Need: storefronts that can't send a tenant's header are known by their network, and their bodies come under gzip. Change: a longest-prefix table (prefix-trie over ipnet) and a set of trusted proxies, both pure, with rules that do nothing refused at the start; gzip with a bound on what it unpacks to; X-Opaque-Id given back.

--- a/crates/cottonhill/src/settings.rs
+++ b/crates/cottonhill/src/settings.rs
@@ -18,6 +18,7 @@
     ledger::EXPORT,
     index::FRONT,
     index::INDEX,
+    index::NETWORK,
 ]);
 
 /// Reads the settings that the command line or the environment names; the defaults where neither does.
--- a/crates/cottonhill/tests/commands.rs
+++ b/crates/cottonhill/tests/commands.rs
@@ -45,6 +45,13 @@
         ("[periods]\nevery = weekly\n", "2: [periods] every = weekly"),
         ("[periods]\nzone = Asia/Colomb\n", "2: [periods] zone: there is no time zone"),
         ("[export]\nurl = ftp://x\n", "2: [export] url: has to begin with http://"),
+        ("[opensearch]\nlisten = 127.0.0.1:1\n", "2: [opensearch] listen: there is no [index NAME]"),
+        ("[opensearch]\nlisten = 127.0.0.1:1\n[index a]\nclass = c\nshards = 0-3,2\n", "5: [index a] shards: shard 2"),
+        (
+            "[opensearch]\nlisten = 127.0.0.1:1\ntenant-by = network\n[index a]\nclass = c\nshards = 0\n\
+             [network x]\ntenant = t\nprefixes = 10.0.0.0/8\n[network y]\ntenant = t\nprefixes = 10.1.0.0/16\n",
+            "12: [network y] prefixes: 10.1.0.0/16 lies in a network of 't' already",
+        ),
         ("level = info\n", "1: 'level' stands in no section"),
     ];
     for (n, (text, said)) in bad.iter().enumerate() {
--- a/crates/opensearch/src/front.rs
+++ b/crates/opensearch/src/front.rs
@@ -1,15 +1,18 @@
 //! The listener: HTTP/1.1 in, one query to the reducer for each search, one answer out.
 
 use crate::dsl::{duration_ms, Search, Track};
-use crate::index::{Front, Index};
+use crate::index::{Front, Index, TenantBy};
 use crate::merge::{self, Unusable};
+use crate::packed::{self, WORTH_PACKING};
 use crate::shape::{self, Answer, Shards};
+use crate::tenant;
 use bytes::Bytes;
 use cottonhill_mixer::protocol::query::{AskedPart, Query, Reply};
 use cottonhill_mixer::transport::Door;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderValue, ACCEPT_ENCODING, CONTENT_ENCODING, CONTENT_TYPE, RETRY_AFTER};
+use hyper::http::request::Parts;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -17,6 +20,7 @@
 use serde_json::{json, Value};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -47,9 +51,9 @@
     tokio::task::spawn_local(async move {
         loop {
             let Ok(place) = room.clone().acquire_owned().await else { return };
-            let stream = tokio::select! {
+            let (stream, peer) = tokio::select! {
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => stream,
+                    Ok(accepted) => accepted,
                     Err(e) => {
                         tracing::warn!(error = %e, "accept");
                         tokio::time::sleep(ACCEPT_AGAIN).await;
@@ -60,18 +64,18 @@
             };
             let context = context.clone();
             tokio::task::spawn_local(async move {
-                attend(&context, stream).await;
+                attend(&context, stream, peer.ip()).await;
                 drop(place);
             });
         }
     });
 }
 
-async fn attend(context: &Rc<Context>, stream: TcpStream) {
+async fn attend(context: &Rc<Context>, stream: TcpStream, peer: IpAddr) {
     let _ = stream.set_nodelay(true);
     let answer = service_fn(|request| {
         let context = context.clone();
-        async move { Ok::<_, Infallible>(handle(&context, request).await) }
+        async move { Ok::<_, Infallible>(handle(&context, peer, request).await) }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(context.front.idle).max_buf_size(64 * 1024);
@@ -108,6 +112,13 @@
     response
 }
 
+/// Who asks: the request's headers, and the client's own address.
+#[derive(Clone)]
+struct Caller {
+    headers: HeaderMap,
+    address: IpAddr,
+}
+
 /// What a search is told beside its body.
 #[derive(Clone, Debug, Default)]
 struct Parameters {
@@ -159,27 +170,68 @@
     Ok(all)
 }
 
-async fn handle(context: &Rc<Context>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn handle(context: &Rc<Context>, peer: IpAddr, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let arrived = context.door.now();
     let head = request.method() == Method::HEAD;
     let (parts, body) = request.into_parts();
-    let body = match Limited::new(body, context.front.most_body).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(_) => {
-            let reason = format!("the body is cut short or longer than {} bytes", context.front.most_body);
-            return response(shape::error(413, "illegal_argument_exception", &reason), head);
+    let accepts = text_of(&parts.headers, ACCEPT_ENCODING.as_str()).is_some_and(|all| all.contains("gzip"));
+    let opaque = parts.headers.get("x-opaque-id").cloned();
+    let mut response = match body_of(context, &parts, body).await {
+        Err(answer) => response(answer, head),
+        Ok(body) => {
+            let forwarded: Vec<&str> = parts
+                .headers
+                .get_all("x-forwarded-for")
+                .iter()
+                .filter_map(|line| line.to_str().ok())
+                .collect();
+            let address = tenant::client(peer, &forwarded, &context.front.proxies);
+            let caller = Caller { headers: parts.headers.clone(), address };
+            match route(context, arrived, &parts, &caller, &body).await {
+                Ok(_) if head => bytes_response(200, Vec::new()),
+                Ok(bytes) => match packed::pack(&bytes).filter(|_| accepts && bytes.len() >= WORTH_PACKING) {
+                    Some(short) => {
+                        let mut response = bytes_response(200, short);
+                        response.headers_mut().insert(CONTENT_ENCODING, HeaderValue::from_static("gzip"));
+                        response
+                    }
+                    None => bytes_response(200, bytes),
+                },
+                Err(answer) => response(answer, head),
+            }
         }
     };
-    match route(context, arrived, &parts, &body).await {
-        Ok(_) if head => bytes_response(200, Vec::new()),
-        Ok(bytes) => bytes_response(200, bytes),
-        Err(answer) => response(answer, head),
+    if let Some(opaque) = opaque {
+        response.headers_mut().insert("x-opaque-id", opaque);
+    }
+    response
+}
+
+fn text_of<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// The whole body, unpacked.
+async fn body_of(context: &Context, parts: &Parts, body: Incoming) -> Result<Bytes, Answer> {
+    let most = context.front.most_body;
+    let too_long = |reason: &str| shape::error(413, "illegal_argument_exception", reason);
+    let body = match Limited::new(body, most).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(_) => return Err(too_long(&format!("the body is cut short or longer than {most} bytes"))),
+    };
+    match text_of(&parts.headers, CONTENT_ENCODING.as_str()) {
+        None | Some("identity") => Ok(body),
+        Some("gzip") => packed::unpack(&body, most).map(Bytes::from).map_err(|why| too_long(&why)),
+        Some(other) => {
+            let reason = format!("Content-Encoding [{other}] is not supported; gzip is");
+            Err(shape::error(415, "illegal_argument_exception", &reason))
+        }
     }
 }
 
 /// The bytes of a 200, or any other answer.
 async fn route(
-    context: &Rc<Context>, arrived: u64, parts: &hyper::http::request::Parts, body: &Bytes,
+    context: &Rc<Context>, arrived: u64, parts: &Parts, caller: &Caller, body: &Bytes,
 ) -> Result<Vec<u8>, Answer> {
     let path = parts.uri.path();
     let told = parameters(path, parts.uri.query())?;
@@ -209,14 +261,12 @@
             };
             plain(front.indices.iter().map(line).collect())
         }
-        ["_msearch"] if read => msearch(context, arrived, None, &parts.headers, &told, body).await,
-        [index, "_msearch"] if read => {
-            msearch(context, arrived, Some(index), &parts.headers, &told, body).await
-        }
-        ["_search"] if read => search(context, arrived, "_all", &parts.headers, &told, body).await,
-        [index, "_search"] if read => search(context, arrived, index, &parts.headers, &told, body).await,
-        ["_count"] if read => count(context, arrived, "_all", &parts.headers, &told, body).await,
-        [index, "_count"] if read => count(context, arrived, index, &parts.headers, &told, body).await,
+        ["_msearch"] if read => msearch(context, arrived, None, caller, &told, body).await,
+        [index, "_msearch"] if read => msearch(context, arrived, Some(index), caller, &told, body).await,
+        ["_search"] if read => search(context, arrived, "_all", caller, &told, body).await,
+        [index, "_search"] if read => search(context, arrived, index, caller, &told, body).await,
+        ["_count"] if read => count(context, arrived, "_all", caller, &told, body).await,
+        [index, "_count"] if read => count(context, arrived, index, caller, &told, body).await,
         [index] if get && !index.starts_with('_') => {
             let (name, index) = find(front, index)?;
             plain(
@@ -253,7 +303,7 @@
 }
 
 async fn gather<'a>(
-    context: &'a Context, arrived: u64, name: &str, headers: &HeaderMap, told: &Parameters, search: &Search,
+    context: &'a Context, arrived: u64, name: &str, caller: &Caller, told: &Parameters, search: &Search,
 ) -> Result<Gathered<'a>, Answer> {
     let began = Instant::now();
     let (front, names) = (&context.front, context.door.names().clone());
@@ -263,15 +313,22 @@
             format!("index [{index}] is of the class [{}], which the platform does not name", settings.class);
         return Err(shape::error(500, "illegal_state_exception", &reason));
     };
-    let header = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    let tenant = header(&front.tenant_header).or(front.tenant.as_deref());
+    let header = |name: &str| caller.headers.get(name).and_then(|value| value.to_str().ok());
+    let by_network = || front.networks.find(caller.address);
+    let told_tenant = match front.by {
+        TenantBy::Header => header(&front.tenant_header),
+        TenantBy::Network => by_network(),
+        TenantBy::Either => header(&front.tenant_header).or_else(by_network),
+    };
+    let tenant = told_tenant.or(front.tenant.as_deref());
     let tenant = match tenant {
         _ if names.tenants.is_empty() => 0,
         Some(tenant) => names.tenants.iter().position(|name| name == tenant).ok_or_else(|| {
             shape::error(403, "security_exception", &format!("there is no tenant [{tenant}]"))
         })?,
         None => {
-            let reason = format!("the header [{}] has to name the tenant", front.tenant_header);
+            let reason =
+                format!("neither the header [{}] nor a network tells the tenant", front.tenant_header);
             return Err(shape::error(401, "security_exception", &reason));
         }
     };
@@ -358,17 +415,17 @@
 }
 
 async fn search(
-    context: &Context, arrived: u64, index: &str, headers: &HeaderMap, told: &Parameters, body: &[u8],
+    context: &Context, arrived: u64, index: &str, caller: &Caller, told: &Parameters, body: &[u8],
 ) -> Result<Vec<u8>, Answer> {
     let search = read(told, body)?;
     let Gathered { index, shards, answers, began } =
-        gather(context, arrived, index, headers, told, &search).await?;
+        gather(context, arrived, index, caller, told, &search).await?;
     let merged = merge::merge(&search, answers);
     Ok(shape::found(index, &search, began.elapsed(), &shards, &merged))
 }
 
 async fn count(
-    context: &Context, arrived: u64, index: &str, headers: &HeaderMap, told: &Parameters, body: &[u8],
+    context: &Context, arrived: u64, index: &str, caller: &Caller, told: &Parameters, body: &[u8],
 ) -> Result<Vec<u8>, Answer> {
     let mut search = read(told, body)?;
     if search.size.is_some() || search.from.is_some() || !search.sort.is_empty() || !search.aggs.is_empty() {
@@ -377,7 +434,7 @@
     search.size = Some(0);
     search.track_total_hits = Some(Track::Flag(true));
     let Gathered { index, shards, answers, .. } =
-        gather(context, arrived, index, headers, told, &search).await?;
+        gather(context, arrived, index, caller, told, &search).await?;
     let total = merge::merge(&search, answers).total.map_or(0, |total| total.value);
     Ok(serde_json::to_vec(&shape::counted(index, &shards, total).body).unwrap_or_default())
 }
@@ -396,7 +453,7 @@
 /// Searches one after another on their lines, asked a few at a time and answered in their order. One that can't be
 /// read is answered with its error; it does not touch the others.
 async fn msearch(
-    context: &Rc<Context>, arrived: u64, index: Option<&str>, headers: &HeaderMap, told: &Parameters,
+    context: &Rc<Context>, arrived: u64, index: Option<&str>, caller: &Caller, told: &Parameters,
     body: &Bytes,
 ) -> Result<Vec<u8>, Answer> {
     let began = Instant::now();
@@ -427,7 +484,7 @@
             }
         }
         let (line, body) = (pair[0].to_vec(), body.slice_ref(pair[1]));
-        let (context, headers, mut told) = (context.clone(), headers.clone(), told.clone());
+        let (context, caller, mut told) = (context.clone(), caller.clone(), told.clone());
         let index = index.map(str::to_string);
         open.spawn_local(async move {
             let asked = async {
@@ -460,7 +517,7 @@
                 }
                 told.partial = line.allow_partial_search_results.or(told.partial);
                 let name = named.or(index.as_deref()).unwrap_or("_all");
-                search(&context, arrived, name, &headers, &told, &body).await
+                search(&context, arrived, name, &caller, &told, &body).await
             };
             (at, asked.await)
         });
--- a/crates/opensearch/src/index.rs
+++ b/crates/opensearch/src/index.rs
@@ -1,5 +1,6 @@
 //! From an index's name to class, shards and weights, by the settings.
 
+use crate::tenant::{networks, Networks, Table};
 use cottonhill_ini::{Key, Kind, Problems, Schema, Section, Settings};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -25,6 +26,18 @@
         ),
         key("idle", Kind::Time, Some("60s"), "A connection that asks nothing for so long is closed."),
         key("cluster", Kind::Text, Some("cottonhill"), "The cluster name that clients are told."),
+        key(
+            "tenant-by",
+            Kind::Choice(&["header", "network", "header-or-network"]),
+            Some("header"),
+            "What tells the tenant: a header, the client's network, or the header where there is one.",
+        ),
+        key(
+            "proxies",
+            Kind::Text,
+            None,
+            "Networks of trusted proxies: only their X-Forwarded-For is believed.",
+        ),
         key("tenant-header", Kind::Text, Some("X-Tenant-Id"), "The header that names the tenant."),
         key("tenant", Kind::Text, None, "The tenant of a search that names none."),
     ],
@@ -40,6 +53,20 @@
     ],
 };
 
+pub const NETWORK: Section = Section {
+    name: "network",
+    named: true,
+    keys: &[
+        key(
+            "prefixes",
+            Kind::Text,
+            None,
+            "Networks, as in 10.1.0.0/16, 2001:db8::/32; the longest prefix wins.",
+        ),
+        key("tenant", Kind::Text, None, "The tenant whose they are."),
+    ],
+};
+
 const fn key(name: &'static str, kind: Kind, default: Option<&'static str>, doc: &'static str) -> Key {
     Key { name, kind, default, live: false, doc }
 }
@@ -52,6 +79,15 @@
     pub shards: Vec<(u32, f64)>,
 }
 
+/// What tells the tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TenantBy {
+    Header,
+    Network,
+    /// The header where there is one, else the network.
+    Either,
+}
+
 /// All that the front is told; none where it is off.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Front {
@@ -64,6 +100,9 @@
     /// In lower case.
     pub tenant_header: String,
     pub tenant: Option<String>,
+    pub by: TenantBy,
+    pub proxies: Networks,
+    pub networks: Table,
     pub indices: BTreeMap<String, Index>,
 }
 
@@ -96,6 +135,36 @@
     !name.starts_with(['_', '-']) && name.bytes().all(plain)
 }
 
+/// The tenants' networks, whatever order they stand in.
+fn table(settings: &Settings, schema: &Schema, by: TenantBy) -> Result<Table, Problems> {
+    let mut rules = Vec::new();
+    for name in settings.names(NETWORK.name) {
+        let network = settings.of(schema, NETWORK.name, name);
+        let wrong = |key: &str, why: &str| settings.problem(NETWORK.name, name, key, why);
+        if by == TenantBy::Header {
+            return Err(wrong("tenant", "is never used, as [opensearch] tenant-by is 'header'"));
+        }
+        let tenant = network.text("tenant").ok_or_else(|| wrong("tenant", "is missing"))?;
+        let prefixes = network.text("prefixes").ok_or_else(|| wrong("prefixes", "is missing"))?;
+        let prefixes = networks(prefixes).map_err(|why| wrong("prefixes", &why))?;
+        rules.extend(prefixes.into_iter().map(|net| (net, name, tenant)));
+    }
+    rules.sort_by_key(|(net, ..)| net.prefix_len());
+    let mut table = Table::default();
+    for (net, name, tenant) in rules {
+        table.insert(net, tenant).map_err(|why| settings.problem(NETWORK.name, name, "prefixes", &why))?;
+    }
+    if table.is_empty() && by != TenantBy::Header {
+        return Err(settings.problem(
+            FRONT.name,
+            "",
+            "tenant-by",
+            "goes by networks, and there is no [network NAME]",
+        ));
+    }
+    Ok(table)
+}
+
 impl Front {
     /// # Errors
     /// Values that contradict each other.
@@ -136,7 +205,19 @@
         if indices.is_empty() {
             return Err(settings.problem(FRONT.name, "", "listen", "there is no [index NAME] to search"));
         }
+        let by = match values.text("tenant-by") {
+            Some("network") => TenantBy::Network,
+            Some("header-or-network") => TenantBy::Either,
+            _ => TenantBy::Header,
+        };
+        let mut proxies = Networks::default();
+        let named = networks(values.text("proxies").unwrap_or_default());
+        let named = named.map_err(|why| settings.problem(FRONT.name, "", "proxies", &why))?;
+        named.into_iter().for_each(|net| proxies.insert(net));
         Ok(Some(Front {
+            by,
+            proxies,
+            networks: table(settings, schema, by)?,
             listen,
             connections: values.count("connections").unwrap_or(64) as usize,
             most_body: values.bytes("body").unwrap_or(64 << 10) as usize,
--- a/crates/opensearch/src/lib.rs
+++ b/crates/opensearch/src/lib.rs
@@ -1,6 +1,6 @@
 //! An OpenSearch-style front on the mixer's core.
 //!
-//! [`dsl`], [`merge`], [`index`] and [`shape`] are pure: a request's bytes become a typed search, the shards' answers
+//! [`dsl`], [`merge`], [`index`], [`tenant`] and [`shape`] are pure: a request's bytes become a typed search, the shards' answers
 //! become one, and both get the shapes that clients know. [`front`] is the listener; what it takes goes through the
 //! same reducer and decisions as every native query.
 
@@ -8,4 +8,6 @@
 pub mod front;
 pub mod index;
 pub mod merge;
+pub mod packed;
 pub mod shape;
+pub mod tenant;
--- a/crates/standins/src/bin/cottonhill-prove-opensearch.rs
+++ b/crates/standins/src/bin/cottonhill-prove-opensearch.rs
@@ -9,13 +9,17 @@
 use cottonhill_standins::client::{Attempt, Connection, Got, Question};
 use cottonhill_standins::installation::{Installation, Plan, CLASSES, SHARDS, TENANTS};
 use cottonhill_standins::search::{aggregate, all, cue, page, words, CUES, GENRES, SICK, WORDS};
-use http_body_util::Full;
+use flate2::read::GzDecoder;
+use flate2::write::GzEncoder;
+use flate2::Compression;
+use http_body_util::{BodyExt, Full};
 use hyper::Request;
+use hyper_util::rt::TokioIo;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{json, Map, Value};
 use std::collections::BTreeMap;
-use std::io;
+use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -285,6 +289,22 @@
     }
 }
 
+/// One request on a connection of its own: the headers and the body of its 200.
+async fn raw(at: SocketAddr, request: Request<Full<Bytes>>) -> Option<(hyper::HeaderMap, Bytes)> {
+    let exchange = async {
+        let stream = tokio::net::TcpStream::connect(at).await.ok()?;
+        let (mut send, connection) =
+            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let task = tokio::spawn(connection);
+        let answer = send.send_request(request).await.ok().filter(|answer| answer.status() == 200)?;
+        let headers = answer.headers().clone();
+        let body = answer.into_body().collect().await.ok()?.to_bytes();
+        task.abort();
+        Some((headers, body))
+    };
+    tokio::time::timeout(Duration::from_secs(5), exchange).await.ok()?
+}
+
 /// One request of each form, and what it has to come to: what does not is named.
 async fn forms(at: SocketAddr) -> Vec<String> {
     let mut connection = Connection::new(at);
@@ -375,6 +395,27 @@
             other => wrong.push(format!("{method} {path}: {other:?} instead of {status} {pointer} {value}")),
         }
     }
+    // Packed both ways, told by its network alone, and known again by its own word.
+    let mut packer = GzEncoder::new(Vec::new(), Compression::fast());
+    let packed = packer.write_all(br#"{"size": 100}"#).and_then(|()| packer.finish()).unwrap_or_default();
+    let request =
+        Request::post("/chart-ranking/_search").header("Host", "mixer").header("Content-Encoding", "gzip");
+    let request = request.header("Accept-Encoding", "gzip").header("X-Opaque-Id", "mine");
+    let answer = match request.body(Full::new(Bytes::from(packed))) {
+        Ok(request) => raw(at, request).await,
+        Err(_) => None,
+    };
+    let right = answer.is_some_and(|(headers, body)| {
+        let mut plain = String::new();
+        let read = GzDecoder::new(&body[..]).read_to_string(&mut plain);
+        let body: Value = serde_json::from_str(&plain).unwrap_or_default();
+        read.is_ok()
+            && headers["x-opaque-id"] == "mine"
+            && body["hits"]["hits"].as_array().map(Vec::len) == Some(100)
+    });
+    if !right {
+        wrong.push("a search under gzip, without a tenant's header, is not answered under gzip".into());
+    }
     // All of it, page by page, each after the last hit of the one before.
     let mut search =
         json!({"query": {"match_all": {}}, "size": 37, "sort": [{"year": "desc"}, "released", "title"]});
--- a/crates/standins/src/installation.rs
+++ b/crates/standins/src/installation.rs
@@ -159,7 +159,8 @@
                 String::new()
             };
             if installation.plan.search {
-                let _ = write!(own, "\n[opensearch]\nlisten = {search}\n");
+                let _ = write!(own, "\n[opensearch]\nlisten = {search}\ntenant-by = header-or-network\n");
+                own += "\n[network loopback]\nprefixes = 127.0.0.0/8, ::1\ntenant = delta\n";
                 for (class, ..) in CLASSES {
                     let _ = write!(own, "\n[index {class}]\nclass = {class}\nshards = 0-{}\n", SHARDS - 1);
                 }
