Serve searches over TLS, with certificates reloaded and clients known by theirs

Need: the front had no TLS. Change: rustls on the front; certificate and key are read again on SIGHUP for new connections, a key that others may read is refused, a pair that does not fit changes nothing; clients may show a certificate whose common name is the tenant.

--- a/crates/cottonhill/src/program.rs
+++ b/crates/cottonhill/src/program.rs
@@ -10,6 +10,7 @@
 use cottonhill_mixer::config::Config;
 use cottonhill_mixer::routing::State;
 use cottonhill_mixer::transport::{self, Addresses, Clock, Told};
+use cottonhill_opensearch::tls::Tls;
 use std::path::Path;
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -28,7 +29,7 @@
     let logs = Logs::start(&own)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| Failure::running(format!("no runtime: {e}")))?;
-    let running = Running { files: files.clone(), config, own, logs };
+    let running = Running { files: files.clone(), config, own, logs, tls: None };
     tokio::task::LocalSet::new().block_on(&runtime, serve(running, usage))
 }
 
@@ -46,6 +47,7 @@
     config: Config,
     own: Settings,
     logs: Logs,
+    tls: Option<Rc<Tls>>,
 }
 
 impl Running {
@@ -60,6 +62,12 @@
             }
             Err(Failure { message, .. }) => tracing::error!("the settings stay as they were: {message}"),
         }
+        if let Some(tls) = &self.tls {
+            match tls.reload() {
+                Ok(()) => tracing::info!("certificate and key read again"),
+                Err(e) => tracing::error!("the certificate stays as it was: {e}"),
+            }
+        }
         let path = self.files.config.as_ref()?;
         match read(path) {
             Ok(next) => {
@@ -78,11 +86,12 @@
     }
 }
 
-async fn serve(running: Running, usage: Option<UsageLog>) -> Done {
+async fn serve(mut running: Running, usage: Option<UsageLog>) -> Done {
     let (tell, told) = mpsc::channel(1);
     let Config { name, listen, site, settings, seed, descriptors, known, addresses, names } =
         running.config.clone();
-    let own = running.own.clone();
+    let fronts = fronts::open(&running.own).await?;
+    running.tls = fronts.tls;
     let running = Rc::new(running);
     // A planned end, by the platform or by whoever has it in a terminal; and a new configuration.
     for kind in [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()] {
@@ -120,7 +129,6 @@
     let listener = listener.map_err(|e| Failure::running(format!("cannot listen on {listen}: {e}")))?;
     let recorder =
         recorder.map(|recorder| Box::new(UsageLogRecorder(recorder)) as Box<dyn transport::Recorder>);
-    let fronts = fronts::open(&own).await?;
     let served = transport::serve(
         state,
         clock,
@@ -128,7 +136,7 @@
         listener,
         addresses,
         told,
-        transport::Beside { recorder, fronts },
+        transport::Beside { recorder, fronts: fronts.start },
     )
     .await;
     served.map_err(|e| Failure::running(format!("cannot listen for other mixers: {e}")))
--- a/crates/opensearch/src/front.rs
+++ b/crates/opensearch/src/front.rs
@@ -6,6 +6,7 @@
 use crate::packed::{self, WORTH_PACKING};
 use crate::shape::{self, Answer, Shards};
 use crate::tenant;
+use crate::tls::{self, Tls};
 use bytes::Bytes;
 use cottonhill_mixer::protocol::query::{AskedPart, Query, Reply};
 use cottonhill_mixer::transport::Door;
@@ -24,15 +25,19 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 /// Searches of one `_msearch`, and those of them that are asked at once.
 const MOST_SEARCHES: usize = 256;
 const AT_ONCE: usize = 8;
 /// After a failed accept (no descriptors left) before the next.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// A TLS handshake is over within this, or its connection is closed.
+const HANDSHAKE: Duration = Duration::from_secs(2);
 const MS: u64 = 1_000_000;
 
 struct Context {
@@ -44,7 +49,7 @@
 }
 
 /// Serves on `listener` until the mixer stops; in the mixer's own `LocalSet`.
-pub fn start(front: Front, listener: TcpListener, door: Door) {
+pub fn start(front: Front, tls: Option<Rc<Tls>>, listener: TcpListener, door: Door) {
     let run = format!("os{:016x}", rand::random::<u64>());
     let room = Arc::new(Semaphore::new(front.connections));
     let context = Rc::new(Context { front, door, run, last: Cell::new(0) });
@@ -62,19 +67,43 @@
                 },
                 () = context.door.stopped() => return,
             };
-            let context = context.clone();
+            let (context, tls) = (context.clone(), tls.clone());
             tokio::task::spawn_local(async move {
-                attend(&context, stream, peer.ip()).await;
+                let _ = stream.set_nodelay(true);
+                let peer = Peer { address: peer.ip(), name: None };
+                match tls {
+                    None => attend(&context, stream, peer).await,
+                    Some(tls) => attend_tls(&context, &tls, stream, peer).await,
+                }
                 drop(place);
             });
         }
     });
 }
 
-async fn attend(context: &Rc<Context>, stream: TcpStream, peer: IpAddr) {
-    let _ = stream.set_nodelay(true);
+/// Who is at the other end of a connection.
+#[derive(Clone)]
+struct Peer {
+    address: IpAddr,
+    /// What its certificate calls it.
+    name: Option<String>,
+}
+
+async fn attend_tls(context: &Rc<Context>, tls: &Tls, stream: TcpStream, peer: Peer) {
+    match timeout(HANDSHAKE, tls.acceptor().accept(stream)).await {
+        Ok(Ok(stream)) => {
+            let certificates = stream.get_ref().1.peer_certificates();
+            let name = certificates.and_then(|all| all.first()).and_then(tls::common_name);
+            attend(context, stream, Peer { name, ..peer }).await;
+        }
+        Ok(Err(e)) => tracing::debug!(address = %peer.address, error = %e, "TLS handshake"),
+        Err(_) => tracing::debug!(address = %peer.address, "TLS handshake took too long"),
+    }
+}
+
+async fn attend<S: AsyncRead + AsyncWrite + Unpin + 'static>(context: &Rc<Context>, stream: S, peer: Peer) {
     let answer = service_fn(|request| {
-        let context = context.clone();
+        let (context, peer) = (context.clone(), peer.clone());
         async move { Ok::<_, Infallible>(handle(&context, peer, request).await) }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
@@ -117,6 +146,7 @@
 struct Caller {
     headers: HeaderMap,
     address: IpAddr,
+    name: Option<String>,
 }
 
 /// What a search is told beside its body.
@@ -170,7 +200,7 @@
     Ok(all)
 }
 
-async fn handle(context: &Rc<Context>, peer: IpAddr, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn handle(context: &Rc<Context>, peer: Peer, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let arrived = context.door.now();
     let head = request.method() == Method::HEAD;
     let (parts, body) = request.into_parts();
@@ -185,8 +215,8 @@
                 .iter()
                 .filter_map(|line| line.to_str().ok())
                 .collect();
-            let address = tenant::client(peer, &forwarded, &context.front.proxies);
-            let caller = Caller { headers: parts.headers.clone(), address };
+            let address = tenant::client(peer.address, &forwarded, &context.front.proxies);
+            let caller = Caller { headers: parts.headers.clone(), address, name: peer.name };
             match route(context, arrived, &parts, &caller, &body).await {
                 Ok(_) if head => bytes_response(200, Vec::new()),
                 Ok(bytes) => match packed::pack(&bytes).filter(|_| accepts && bytes.len() >= WORTH_PACKING) {
@@ -318,6 +348,7 @@
     let told_tenant = match front.by {
         TenantBy::Header => header(&front.tenant_header),
         TenantBy::Network => by_network(),
+        TenantBy::Certificate => caller.name.as_deref(),
         TenantBy::Either => header(&front.tenant_header).or_else(by_network),
     };
     let tenant = told_tenant.or(front.tenant.as_deref());
@@ -327,9 +358,8 @@
             shape::error(403, "security_exception", &format!("there is no tenant [{tenant}]"))
         })?,
         None => {
-            let reason =
-                format!("neither the header [{}] nor a network tells the tenant", front.tenant_header);
-            return Err(shape::error(401, "security_exception", &reason));
+            let reason = "nothing tells the tenant: see tenant-by in the settings";
+            return Err(shape::error(401, "security_exception", reason));
         }
     };
     let wanted = |shard: &u32| told.only.as_ref().is_none_or(|only| only.contains(shard));
--- a/crates/opensearch/src/index.rs
+++ b/crates/opensearch/src/index.rs
@@ -1,9 +1,11 @@
 //! From an index's name to class, shards and weights, by the settings.
 
 use crate::tenant::{networks, Networks, Table};
+use crate::tls::Files;
 use cottonhill_ini::{Key, Kind, Problems, Schema, Section, Settings};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 pub const FRONT: Section = Section {
@@ -28,9 +30,17 @@
         key("cluster", Kind::Text, Some("cottonhill"), "The cluster name that clients are told."),
         key(
             "tenant-by",
-            Kind::Choice(&["header", "network", "header-or-network"]),
+            Kind::Choice(&["header", "network", "header-or-network", "certificate"]),
             Some("header"),
-            "What tells the tenant: a header, the client's network, or the header where there is one.",
+            "What tells the tenant: a header, the network, the header where there is one, or a certificate.",
+        ),
+        key("certificate", Kind::Text, None, "PEM file of the certificate chain; plain HTTP without it."),
+        key("key", Kind::Text, None, "PEM file of its key, which nobody else may read."),
+        key(
+            "client-ca",
+            Kind::Text,
+            None,
+            "PEM file of who vouches for clients; their certificates are optional.",
         ),
         key(
             "proxies",
@@ -86,6 +96,8 @@
     Network,
     /// The header where there is one, else the network.
     Either,
+    /// The common name of the client's certificate.
+    Certificate,
 }
 
 /// All that the front is told; none where it is off.
@@ -101,6 +113,7 @@
     pub tenant_header: String,
     pub tenant: Option<String>,
     pub by: TenantBy,
+    pub tls: Option<Files>,
     pub proxies: Networks,
     pub networks: Table,
     pub indices: BTreeMap<String, Index>,
@@ -141,8 +154,8 @@
     for name in settings.names(NETWORK.name) {
         let network = settings.of(schema, NETWORK.name, name);
         let wrong = |key: &str, why: &str| settings.problem(NETWORK.name, name, key, why);
-        if by == TenantBy::Header {
-            return Err(wrong("tenant", "is never used, as [opensearch] tenant-by is 'header'"));
+        if matches!(by, TenantBy::Header | TenantBy::Certificate) {
+            return Err(wrong("tenant", "is never used, as [opensearch] tenant-by does not go by networks"));
         }
         let tenant = network.text("tenant").ok_or_else(|| wrong("tenant", "is missing"))?;
         let prefixes = network.text("prefixes").ok_or_else(|| wrong("prefixes", "is missing"))?;
@@ -154,7 +167,7 @@
     for (net, name, tenant) in rules {
         table.insert(net, tenant).map_err(|why| settings.problem(NETWORK.name, name, "prefixes", &why))?;
     }
-    if table.is_empty() && by != TenantBy::Header {
+    if table.is_empty() && matches!(by, TenantBy::Network | TenantBy::Either) {
         return Err(settings.problem(
             FRONT.name,
             "",
@@ -208,14 +221,28 @@
         let by = match values.text("tenant-by") {
             Some("network") => TenantBy::Network,
             Some("header-or-network") => TenantBy::Either,
+            Some("certificate") => TenantBy::Certificate,
             _ => TenantBy::Header,
         };
+        let path = |key: &str| values.text(key).map(PathBuf::from);
+        let wrong = |key: &str, why: &str| settings.problem(FRONT.name, "", key, why);
+        let tls = match (path("certificate"), path("key"), path("client-ca")) {
+            (Some(certificate), Some(key), clients) => Some(Files { certificate, key, clients }),
+            (None, None, None) => None,
+            (Some(_), None, _) => return Err(wrong("certificate", "needs 'key'")),
+            (None, Some(_), _) => return Err(wrong("key", "needs 'certificate'")),
+            (None, None, Some(_)) => return Err(wrong("client-ca", "needs 'certificate' and 'key'")),
+        };
+        if by == TenantBy::Certificate && tls.as_ref().is_none_or(|tls| tls.clients.is_none()) {
+            return Err(wrong("tenant-by", "goes by certificates, and there is no 'client-ca'"));
+        }
         let mut proxies = Networks::default();
         let named = networks(values.text("proxies").unwrap_or_default());
         let named = named.map_err(|why| settings.problem(FRONT.name, "", "proxies", &why))?;
         named.into_iter().for_each(|net| proxies.insert(net));
         Ok(Some(Front {
             by,
+            tls,
             proxies,
             networks: table(settings, schema, by)?,
             listen,
--- a/crates/opensearch/src/lib.rs
+++ b/crates/opensearch/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod packed;
 pub mod shape;
 pub mod tenant;
+pub mod tls;
