Let nothing wait for a log that has stalled; bound how long a search's body may take

Change: the driver remembers how far the log was when a reply last left without it; a body is whole within 2 s or gets a 408; packing only where it is accepted.

--- a/crates/mixer/src/transport/ledger.rs
+++ b/crates/mixer/src/transport/ledger.rs
@@ -36,12 +36,14 @@
     held: VecDeque<Held>,
     /// The record whose reply comes next.
     next: Option<u64>,
+    /// How far the log was when a reply last left without its record: until it moves, none waits.
+    stalled: Option<u64>,
 }
 
 impl Ledger {
     pub fn new(recorder: Box<dyn Recorder>) -> Ledger {
         let (written, stall) = (recorder.written(), recorder.stall());
-        Ledger { recorder, written, stall, held: VecDeque::new(), next: None }
+        Ledger { recorder, written, stall, held: VecDeque::new(), next: None, stalled: None }
     }
 
     pub fn record(&mut self, usage: Usage) {
@@ -56,8 +58,13 @@
     /// Holds a reply until its record is written; gives it back if there is nothing to wait for.
     pub fn hold(&mut self, client: ClientId, reply: Reply, close: bool) -> Option<(ClientId, Reply, bool)> {
         let reply = (client, reply, close);
+        let written = *self.written.borrow();
         match self.next.take() {
-            Some(sequence) if *self.written.borrow() < sequence => {
+            Some(sequence) if written < sequence && self.stalled == Some(written) => {
+                self.recorder.left_without();
+                Some(reply)
+            }
+            Some(sequence) if written < sequence => {
                 self.held.push_back(Held { sequence, until: Instant::now() + self.stall, reply });
                 None
             }
@@ -96,6 +103,7 @@
             return None;
         }
         if !written {
+            self.stalled = Some(*self.written.borrow());
             self.recorder.left_without();
         }
         self.held.pop_front().map(|held| held.reply)
@@ -177,6 +185,13 @@
         tokio::time::sleep_until(ledger.until().unwrap()).await;
         assert_eq!(ledger.release().map(|r| r.0), Some(3));
         assert_eq!((began.elapsed(), without.get()), (Duration::from_millis(5), 1));
+        // It has stalled: nothing waits until it moves.
+        ledger.record(usage(4));
+        assert!(ledger.hold(4, Reply::Failed, false).is_some());
+        assert_eq!(without.get(), 2);
+        written.send_replace(4);
+        ledger.record(usage(5));
+        assert!(ledger.hold(5, Reply::Failed, false).is_none());
     }
 
     #[tokio::test]
--- a/crates/opensearch/src/front.rs
+++ b/crates/opensearch/src/front.rs
@@ -38,6 +38,8 @@
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 /// A TLS handshake is over within this, or its connection is closed.
 const HANDSHAKE: Duration = Duration::from_secs(2);
+/// A body that has begun is whole within this.
+const WHOLE_BODY: Duration = Duration::from_secs(2);
 const MS: u64 = 1_000_000;
 
 struct Context {
@@ -219,7 +221,7 @@
             let caller = Caller { headers: parts.headers.clone(), address, name: peer.name };
             match route(context, arrived, &parts, &caller, &body).await {
                 Ok(_) if head => bytes_response(200, Vec::new()),
-                Ok(bytes) => match packed::pack(&bytes).filter(|_| accepts && bytes.len() >= WORTH_PACKING) {
+                Ok(bytes) if accepts && bytes.len() >= WORTH_PACKING => match packed::pack(&bytes) {
                     Some(short) => {
                         let mut response = bytes_response(200, short);
                         response.headers_mut().insert(CONTENT_ENCODING, HeaderValue::from_static("gzip"));
@@ -227,6 +229,7 @@
                     }
                     None => bytes_response(200, bytes),
                 },
+                Ok(bytes) => bytes_response(200, bytes),
                 Err(answer) => response(answer, head),
             }
         }
@@ -245,9 +248,10 @@
 async fn body_of(context: &Context, parts: &Parts, body: Incoming) -> Result<Bytes, Answer> {
     let most = context.front.most_body;
     let too_long = |reason: &str| shape::error(413, "illegal_argument_exception", reason);
-    let body = match Limited::new(body, most).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(_) => return Err(too_long(&format!("the body is cut short or longer than {most} bytes"))),
+    let body = match timeout(WHOLE_BODY, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(_)) => return Err(too_long(&format!("the body is cut short or longer than {most} bytes"))),
+        Err(_) => return Err(shape::error(408, "timeout_exception", "the body took too long")),
     };
     match text_of(&parts.headers, CONTENT_ENCODING.as_str()) {
         None | Some("identity") => Ok(body),
