Build the rows of ledger dump in one place

Need: a dump of the store and one of a log made their rows apart, and a whole answer's share was 1,000,000 in one and 0 in the other. Change: one function makes both; the share is that of a partial answer.

--- a/crates/cottonhill/src/commands.rs
+++ b/crates/cottonhill/src/commands.rs
@@ -649,6 +649,18 @@
     "key",
 ];
 
+/// One record in the order of [`RECORD`], wherever it stands: the share is that of a partial answer.
+fn record_row(
+    at: i64, whose: [Value; 5], outcome: &str, counts: [u32; 4], (repeat, keyed, key): (bool, bool, u64),
+) -> Vec<Value> {
+    let mut row = vec![json!(stamp(at))];
+    row.extend(whose);
+    row.push(json!(outcome));
+    row.extend(counts.map(|count| json!(count)));
+    row.extend([json!(repeat), json!(keyed), json!(format!("{key:016x}"))]);
+    row
+}
+
 fn dump_store(opened: &Opened, shape: &Shape) -> Done {
     let store = opened.existing()?;
     let names = store.names().map_err(Failure::running)?;
@@ -656,28 +668,16 @@
     let mut rows = Rows::new(&RECORD);
     for it in store.tries(i64::MIN, i64::MAX).map_err(Failure::running)? {
         let (outcome, share) = match it.outcome {
-            Outcome::Whole => ("whole", 1_000_000),
+            Outcome::Whole => ("whole", 0),
             Outcome::Partial(share) => ("partial", share),
             Outcome::Refused => ("refused", 0),
             Outcome::Failed => ("failed", 0),
             Outcome::Left => ("left", 0),
         };
-        rows.rows.push(vec![
-            json!(stamp(it.at)),
-            name(it.member),
-            json!(it.incarnation),
-            json!(it.sequence),
-            name(it.tenant),
-            name(it.class),
-            json!(outcome),
-            json!(share),
-            json!(it.parts),
-            json!(it.attempts),
-            json!(it.crossed),
-            json!(it.repeat),
-            json!(it.keyed),
-            json!(format!("{:016x}", it.key)),
-        ]);
+        let whose =
+            [name(it.member), json!(it.incarnation), json!(it.sequence), name(it.tenant), name(it.class)];
+        let counts = [share, it.parts, it.attempts, it.crossed];
+        rows.rows.push(record_row(it.at, whose, outcome, counts, (it.repeat, it.keyed, it.key)));
     }
     rows.print(shape)
 }
@@ -695,22 +695,13 @@
             let Some(wire::entry::What::Record(it)) = entry.what else { continue };
             let outcome = it.outcome().as_str_name().to_lowercase();
             let class = header.classes.get(it.class as usize).map(|class| class.name.as_str());
-            rows.rows.push(vec![
-                json!(stamp(it.arrived_ms as i64)),
-                json!(header.mixer),
-                json!(header.incarnation),
-                json!(it.sequence),
-                json!(header.tenants.get(it.tenant as usize)),
-                json!(class),
-                json!(outcome),
-                json!(it.share),
-                json!(it.parts),
-                json!(it.attempts),
-                json!(it.crossed),
-                json!(it.repeat),
-                json!(it.keyed),
-                json!(format!("{:016x}", it.key)),
-            ]);
+            let tenant = json!(header.tenants.get(it.tenant as usize));
+            let whose =
+                [json!(header.mixer), json!(header.incarnation), json!(it.sequence), tenant, json!(class)];
+            let counts = [it.share, it.parts, it.attempts, it.crossed];
+            let row =
+                record_row(it.arrived_ms as i64, whose, &outcome, counts, (it.repeat, it.keyed, it.key));
+            rows.rows.push(row);
         }
     }
     rows.print(shape)
