Keep queries out while holder after holder turns their parts away

Clients repeat a refused query at once, up to twice.

Ruled out as the only cause: room at cold servers.

At fault: admission (hopeless, best_latency) judges by this mixer's own parts out at a replica; one of a hundred mixers holds hardly any, so it never refuses. Now each second refusal of a part takes from the share of queries let in, each answer adds to it; what is kept out is refused at once, with nothing sent.

--- a/crates/cottonhill/src/program.rs
+++ b/crates/cottonhill/src/program.rs
@@ -110,6 +110,7 @@
         });
     }
     tracing::info!(name, %listen, known = known.endpoints.len(), open_cap = site.open_cap, "starting");
+    tracing::debug!(?settings, "settings in force");
     let clock = Clock::start();
     let recorder = match &usage {
         Some(usage) => {
--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -65,6 +65,9 @@
 const LOSS: (f64, f64, f64) = (0.05, 0.2, 0.7);
 /// Aims for which they are renewed after that was seen.
 const RENEW_AIMS: f64 = 15.0;
+/// What a second refusal of one part takes off the share of queries let in, what an answer adds to it, and the
+/// least of it: one that learns nothing any more would never open again.
+const LET_IN: (f64, f64, f64) = (0.15, 0.005, 0.1);
 /// Beats (our own timer) kept free before a moment that must not be missed.
 const SPARE_BEATS: Nanos = 2;
 
@@ -165,6 +168,8 @@
     races_lost: f64,
     /// Parts of the last second: when each was judged and whether it was late or refused.
     judged: VecDeque<(Nanos, bool)>,
+    /// Share of the queries that is kept out since their parts would be turned away wherever they go.
+    kept_out: f64,
     cutoff: f64,
     cutoff_moved: Nanos,
     last_pressure: Nanos,
@@ -388,6 +393,11 @@
             self.races_lost += RACE * (f64::from(u8::from(first)) - self.races_lost);
         }
         part.landed |= outcome == Outcome::Ok;
+        if outcome == Outcome::Refused && number > 0 {
+            self.kept_out += LET_IN.0 * (1.0 - LET_IN.2 - self.kept_out).max(0.0);
+        } else if outcome == Outcome::Ok {
+            self.kept_out = (self.kept_out - LET_IN.1).max(0.0);
+        }
         let bad = outcome == Outcome::Refused || outcome == Outcome::Unreachable && pressing;
         if (part.landed || bad) && !part.counted {
             part.counted = true;
@@ -428,7 +438,7 @@
     fn begin(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(mut query) = self.queries.remove(&id) else { return };
         if query.step == 1 {
-            if self.hopeless(&mut query) {
+            if self.hopeless(&mut query) || self.kept_out() {
                 return self.give_up(query, actions);
             }
             self.select(&mut query);
@@ -449,6 +459,20 @@
         replicas.len() >= HARM && !query.parts.iter().any(|p| p.landed)
     }
 
+    /// What was let in holds slots until it has run, answered or not. Where holder after holder turns parts
+    /// away, a further query costs others their parts and is lost itself, and a hundred co-ordinators see
+    /// nothing of each other but that: each lets in less, at once, and more again with each answer.
+    fn kept_out(&mut self) -> bool {
+        self.kept_out > 0.0 && self.toss() < self.kept_out
+    }
+
+    fn toss(&mut self) -> f64 {
+        let mut random = fastrand::Rng::with_seed(self.random);
+        let toss = random.f64();
+        self.random = random.get_seed();
+        toss
+    }
+
     /// Overload: a query that cannot make its aim only delays others.
     fn hopeless(&mut self, query: &mut Query) -> bool {
         let share = REFUSE_AT * self.density(query);
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -935,3 +935,41 @@
     let (_, actions) = bed.query_with_patience(13_000, 0, &[1.0], 180 * MS);
     assert_eq!(sends(&actions).len(), 1, "{actions:?}");
 }
+
+/// Parts that the leaf servers took go on running when their query is given up. A hundred co-ordinators that
+/// each send on while all holders turn parts away keep every queue full of work for nobody.
+#[test]
+fn queries_are_kept_out_while_holder_after_holder_is_full_and_let_in_again_with_answers() {
+    let mut bed = Bed::new(settings(vec![class(2000, 0.5)]), 4);
+    let weights = [0.05; 20];
+    let let_in = |bed: &mut Bed, from: u64| {
+        let mut count = 0;
+        for i in 0..40 {
+            let (id, actions) = bed.query(from + i, 0, &weights);
+            let sent = sends(&actions);
+            count += usize::from(!sent.is_empty());
+            bed.at(from + i, &[Event::ClientGone { id }]);
+            bed.at(from + i, &all_end(&sent, Outcome::Cancelled));
+        }
+        count
+    };
+    let (id, actions) = bed.query(0, 0, &weights);
+    let again = bed.at(2, &all_end(&sends(&actions), Outcome::Refused));
+    let second = sends(&again);
+    assert!(second.len() > 10, "each part asks a second holder");
+    assert_eq!(let_in(&mut Bed::new(settings(vec![class(2000, 0.5)]), 4), 0), 40);
+    let refused: Vec<_> =
+        second.iter().map(|(part, replica)| ended(*part, 1, *replica, Outcome::Refused)).collect();
+    bed.at(4, &refused);
+    bed.at(5, &[Event::ClientGone { id }]);
+    // The holders' own rest after a refusal is over by then.
+    let few = let_in(&mut bed, 600);
+    assert!((1..=12).contains(&few), "{few} of 40 after two refusals of each part");
+    for i in 0..400 {
+        let (id, actions) = bed.query(3000 + i * 100, 0, &[1.0]);
+        if let Some((_, replica)) = sends(&actions).first() {
+            bed.end(3050 + i * 100, id + 1, 0, *replica, Outcome::Ok);
+        }
+    }
+    assert_eq!(let_in(&mut bed, 50_000), 40, "answers open it again");
+}
--- a/crates/mixer/src/routing/state/attempts.rs
+++ b/crates/mixer/src/routing/state/attempts.rs
@@ -51,6 +51,7 @@
         self.alarms.remove(&(attempt.until, Alarm::Attempt(id)));
         self.count(outcome);
         let (replica, (part, attempt)) = (attempt.replica, id);
+        tracing::debug!(part, attempt, replica = replica.0, ?outcome, "attempt ended");
         self.events.push(Event::Ended { part, attempt, replica, outcome, report });
     }
 
