Count the aim from the client's sending, as the deadline is

The patience has the way in, the turn and the way back taken off (take_query in routing/state/clients.rs), 13 ms there; the aim was counted from the decision's own clock (choice.rs, take_query) and had only two beats kept free, 6 ms where the tick is 1 ms. A query now brings that lag along.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -189,6 +189,7 @@
         class: record.u16(31),
         tenant: record.u32(37),
         patience: record.u64(15),
+        lag: 0,
         work: (record.u8(49) & 1 != 0).then(|| record.u64(23)),
         repeat: record.u8(49) & 2 != 0,
     }
--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -323,10 +323,10 @@
     }
 
     fn take_query(&mut self, event: &Event) {
-        let Event::Query { id, group, class, tenant, patience, work, repeat } = *event else { return };
+        let Event::Query { id, group, class, tenant, patience, lag, work, repeat } = *event else { return };
         self.taken.push_back(self.now);
         let class = class as usize;
-        let spent = self.spent((class, tenant as usize), patience, repeat);
+        let spent = self.spent((class, tenant as usize), patience, repeat).max(lag);
         let Some(kind) = self.settings.classes.get(class) else { return };
         let stretch = kind.aim_stretch.unwrap_or(0.0) * work.unwrap_or(0) as f64;
         let deadline = self.now + patience;
@@ -338,7 +338,7 @@
             arrived: self.now,
             aim: if aim > self.now { aim.min(deadline) } else { deadline },
             late: aim <= self.now,
-            hasty: repeat && spent == 0 && patience < kind.aim,
+            hasty: repeat && spent == lag && patience < kind.aim,
             deadline,
             step: 1,
             step_began: self.now,
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -165,6 +165,8 @@
         class: u16,
         tenant: u32,
         patience: Nanos,
+        /// Of the client's time, what had gone by when this came and what the answer's way back may take.
+        lag: Nanos,
         work: Option<Nanos>,
         /// The client has marked it as a repeat of an earlier try.
         repeat: bool,
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -80,7 +80,7 @@
     ) -> (u64, Vec<Action>) {
         let (id, group) = (self.next * 100, self.next as u32);
         self.next += 1;
-        let mut events = vec![Event::Query { id, group, class, tenant: 0, patience, work: None, repeat }];
+        let mut events = vec![Event::Query { id, group, class, tenant: 0, patience, lag: 0, work: None, repeat }];
         for (i, weight) in weights.iter().enumerate() {
             events.push(Event::Part { id: id + 1 + i as u64, group, shard: i as u32, weight: *weight });
         }
