Ask discovery again with jitter, a share for each mixer and a backoff to 16 s

The 503 comes after the call has waited 2 s: calls wait in turn, and discovery serves one in about 60 ms.

At fault: transport/watch.rs, AGAIN. 50 ms doubling to 1 s, the same at every mixer, is 70 calls in the same tenth of every second; and a watch that ended after more than 1 s counted as one that had worked, so that a 503 after 2 s started at 50 ms again. Ruled out: the spread back-off of the decisions (ask_later), which is for lists that have to be asked for; the list is pushed here.

Now routing/backoff.rs, pure: the first wait is anything up to 20 ms for each mixer that the settings tell of (60 ms with three), later ones double to 16 s and are never under half of that; only a watch that brought a line was one; Retry-After is heeded where it comes.

--- a/crates/mixer/src/protocol/http.rs
+++ b/crates/mixer/src/protocol/http.rs
@@ -4,6 +4,7 @@
 use crate::interface::Nanos;
 use bytes::{Buf, Bytes, BytesMut};
 use std::io::{self, ErrorKind};
+use std::time::Duration;
 use tokio_util::codec::{Decoder, Encoder};
 
 pub const MOST_BODY: usize = 64 * 1024;
@@ -315,6 +316,29 @@
     }
 }
 
+/// Discovery does not serve a watch now, and says for how long where it knows.
+#[derive(Debug, PartialEq)]
+pub struct TurnedAway {
+    pub status: u16,
+    pub come_back: Option<Duration>,
+}
+
+impl std::error::Error for TurnedAway {}
+
+impl std::fmt::Display for TurnedAway {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "discovery answered {}", self.status)?;
+        self.come_back.map_or(Ok(()), |after| write!(f, ", to come back in {} ms", after.as_millis()))
+    }
+}
+
+/// `Retry-After` in seconds, whole or decimal; a date or nonsense says nothing.
+fn come_back(headers: &[httparse::Header]) -> Option<Duration> {
+    let header = headers.iter().find(|header| header.name.eq_ignore_ascii_case("retry-after"))?;
+    let seconds: f64 = std::str::from_utf8(header.value).ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 fn invalid(why: impl Into<String>) -> io::Error {
     io::Error::new(ErrorKind::InvalidData, why.into())
 }
@@ -327,7 +351,9 @@
             httparse::Status::Complete(length) => {
                 let status = parsed.code.unwrap_or_default();
                 if status != 200 {
-                    return Err(invalid(format!("discovery answered {status}")));
+                    let come_back = come_back(parsed.headers);
+                    let why = TurnedAway { status, come_back };
+                    return Err(io::Error::new(ErrorKind::InvalidData, why));
                 }
                 let body = framing(parsed.headers).map_err(invalid)?;
                 src.advance(length);
--- /dev/null
+++ b/crates/mixer/src/routing/backoff.rs
@@ -0,0 +1,93 @@
+//! When to ask again for what could not be had. What one mixer asks too often is a trifle; a hundred that lost
+//! their list at the same instant and ask in step keep the one service that could help them from helping any.
+
+use fastrand::Rng;
+use std::time::Duration;
+
+/// What the one that is asked has for each mixer, if all fail at one moment: the first wait spreads over as many
+/// of these as there are mixers.
+const EACH: Duration = Duration::from_millis(20);
+/// The longest wait after many failures, each of which doubles it.
+const MOST: Duration = Duration::from_secs(16);
+
+/// The waits between the tries at one thing.
+#[derive(Clone, Debug)]
+pub struct Backoff {
+    first: Duration,
+    longest: Duration,
+    random: Rng,
+}
+
+impl Backoff {
+    /// For one of so many `mixers`; they must have different seeds, or they would wait alike.
+    pub fn new(seed: u64, mixers: u32) -> Backoff {
+        let first = (EACH * mixers.max(1)).min(MOST);
+        Backoff { first, longest: first, random: Rng::with_seed(seed) }
+    }
+
+    /// How long to wait after a try that has ended; `had` says that it brought what was asked for, so that the
+    /// next failure is a first one, `told` what the other end asked for at the least. How long a try took says
+    /// nothing: an overbooked service lets its callers wait before it turns them away. The first wait is anything from none up, so that what failed for all at one moment is
+    /// not asked for by all at another; later ones are never short, so that the asking becomes less.
+    pub fn after(&mut self, had: bool, told: Option<Duration>) -> Duration {
+        if had {
+            self.longest = self.first;
+        }
+        let first = self.longest == self.first;
+        let least = if first { Duration::ZERO } else { self.longest / 2 };
+        let wait = least + (self.longest - least).mul_f64(self.random.f64());
+        self.longest = (self.longest * 2).min(MOST);
+        // Spread past the told time too: whoever was turned away together was told the same.
+        wait + told.unwrap_or_default().min(MOST)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: fn(u64) -> Duration = Duration::from_millis;
+
+    /// The moments, in ms, at which mixers that failed together at 0 ask in the time that follows.
+    fn asks(mixers: u64, until: Duration) -> Vec<u64> {
+        let mut all = Vec::new();
+        for seed in 0..mixers {
+            let mut backoff = Backoff::new(seed, 100);
+            let mut at = backoff.after(false, None);
+            while at < until {
+                all.push(at.as_millis() as u64);
+                at += backoff.after(false, None);
+            }
+        }
+        all
+    }
+
+    #[test]
+    fn a_hundred_that_failed_together_do_not_ask_together() {
+        let asks = asks(100, MS(30_000));
+        let most = (0..300).map(|i| asks.iter().filter(|at| **at / 100 == i).count()).max();
+        assert!(most < Some(20), "{most:?} asks in one tenth of a second");
+        let late = asks.iter().filter(|at| **at >= 20_000).count();
+        assert!(late < 100 * 2, "{late} asks in the last 10 s: each waits 8 s at the least by then");
+        assert!(late >= 50, "nobody gives up");
+    }
+
+    #[test]
+    fn what_was_had_is_asked_for_again_soon() {
+        let mut backoff = Backoff::new(1, 100);
+        (0..10).for_each(|_| drop(backoff.after(false, None)));
+        assert!(backoff.after(false, None) >= MS(8_000));
+        assert!(backoff.after(true, None) <= MS(2_000));
+        let mut few = Backoff::new(1, 3);
+        assert!(few.after(true, None) <= MS(60), "three do not overbook anything");
+    }
+
+    #[test]
+    fn who_is_told_when_to_come_back_does_not_come_before_nor_wait_for_ever() {
+        let waits: Vec<Duration> =
+            (0..50).map(|seed| Backoff::new(seed, 100).after(false, Some(MS(2_000)))).collect();
+        assert!(waits.iter().all(|wait| (MS(2_000)..=MS(4_000)).contains(wait)), "{waits:?}");
+        assert!(waits.iter().max() > waits.iter().min(), "and not all at once");
+        assert!(Backoff::new(1, 100).after(false, Some(Duration::from_secs(86_400))) <= MS(18_000));
+    }
+}
--- a/crates/mixer/src/routing/state/clients.rs
+++ b/crates/mixer/src/routing/state/clients.rs
@@ -100,7 +100,16 @@
         }
         let work = asked.parts.iter().map(|p| p.work).sum();
         let (class, tenant) = (asked.class, asked.tenant);
-        self.events.push(Event::Query { id, group, class, tenant, patience, lag: spent, work, repeat: asked.repeat });
+        self.events.push(Event::Query {
+            id,
+            group,
+            class,
+            tenant,
+            patience,
+            lag: spent,
+            work,
+            repeat: asked.repeat,
+        });
         let mut parts = Vec::with_capacity(asked.parts.len());
         for part in &asked.parts {
             let (part_id, shard, weight) = (self.id(), part.shard, part.weight);
--- a/crates/mixer/src/routing/state/links.rs
+++ b/crates/mixer/src/routing/state/links.rs
@@ -11,6 +11,8 @@
 impl State {
     pub(super) fn take_list(&mut self, now: Nanos, listing: &Listing) {
         self.counters.lists += 1;
+        let (index, lines) = (listing.index, listing.endpoints.len());
+        tracing::debug!(index, lines, whole = listing.snapshot, "list taken");
         let (kind, members, stopped) = self.replicas.take(listing);
         self.listed |= self.replicas.any_ready();
         self.events.push(Event::List { kind, members });
--- a/crates/mixer/src/routing/state/mod.rs
+++ b/crates/mixer/src/routing/state/mod.rs
@@ -6,6 +6,7 @@
 mod turns;
 mod usage;
 
+use super::backoff::Backoff;
 use super::counters::Counters;
 use super::link::{AttemptId, Link, Phase};
 use super::messages::{ClientId, Effect, Input, LinkId};
@@ -112,6 +113,7 @@
 /// All that the mixer knows and is doing.
 pub struct State {
     site: Site,
+    backoff: Backoff,
     module: Coordinator,
     events: Vec<Event>,
     effects: Vec<Effect>,
@@ -152,6 +154,7 @@
             most_clients: descriptors * CLIENT_HUNDREDTHS / 100,
             replicas: Replicas::new(site.zones.clone()),
             site,
+            backoff: Backoff::new(seed, settings.coordinators),
             module: Coordinator::new(settings, seed),
             events: Vec::new(),
             effects: Vec::new(),
@@ -181,6 +184,11 @@
         state
     }
 
+    /// The waits between tries at discovery.
+    pub fn backoff(&self) -> Backoff {
+        self.backoff.clone()
+    }
+
     /// The version of the list that is held: where a watch goes on from.
     pub fn list_index(&self) -> u64 {
         self.replicas.index
--- a/crates/mixer/tests/protocol.rs
+++ b/crates/mixer/tests/protocol.rs
@@ -2,12 +2,13 @@
 
 use bytes::{Bytes, BytesMut};
 use cottonhill_mixer::config::Config;
-use cottonhill_mixer::protocol::http::{Rejection, Request, Response, ServerCodec, WatchCodec};
+use cottonhill_mixer::protocol::http::{Rejection, Request, Response, ServerCodec, TurnedAway, WatchCodec};
 use cottonhill_mixer::protocol::leaf::{CallPart, End, FromLeaf, LeafCodec, ToLeaf};
 use cottonhill_mixer::protocol::query::{self, Asked, Names, Reply};
 use cottonhill_mixer::protocol::{discovery, http};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use std::time::Duration;
 use tokio_util::codec::{Decoder, Encoder};
 
 const QUERY: &str = "{\"shards\":[{\"shard\":3,\"weight\":0.5,\"cost\":9000},{\"shard\":2,\"weight\":0.5}],\
@@ -252,3 +253,22 @@
     broken["extra"]["second_step"][0] = 3.into();
     assert!(config(&broken).is_err());
 }
+
+/// An overbooked discovery says when to come back; what it says in another form, or not at all, is no error.
+#[test]
+fn a_watch_that_is_turned_away_says_for_how_long() {
+    let turned_away = |head: &str| {
+        let mut bytes =
+            BytesMut::from(format!("HTTP/1.1 503 Busy\r\n{head}Content-Length: 0\r\n\r\n").as_str());
+        let error = WatchCodec::default().decode(&mut bytes).expect_err("no watch");
+        let why = error.get_ref().and_then(|e| e.downcast_ref::<TurnedAway>()).expect("turned away");
+        assert_eq!(why.status, 503);
+        why.come_back
+    };
+    assert_eq!(turned_away("Retry-After: 1.5\r\n"), Some(Duration::from_millis(1500)));
+    for says_nothing in
+        ["", "Retry-After: Wed, 02 Dec 2026 07:28:00 GMT\r\n", "Retry-After: -1\r\n", "Retry-After: inf\r\n"]
+    {
+        assert_eq!(turned_away(says_nothing), None, "{says_nothing}");
+    }
+}
