Reckon room at cold servers from allowances; keep queries out after one lost midway

Causes: cold_room (choice.rs) divides what a mixer was answered by the full warming time, so that it counts half of it 9 s after the start and nothing after a restart; and the guard that keeps queries out saw second refusals only, not the queries that ran out of time at servers whose queues are long but not full. Now what the tenants may ask (orgs, times the mean parts of a query) is a second measure of the room; a cold replica that answers within a quarter of the aim gets 1.7 times as much, well under the multiple that brings it down; a query given up with parts in or out shuts the door by 0.4; an answer opens it by a share of what is shut, as a fixed amount took half a minute where little is let in.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -50,6 +50,11 @@
 const FULL_REST: f64 = 0.125;
 /// Times of warming up over which the answers that a replica usually gives are counted.
 const COLD_MEMORY: f64 = 4.0;
+/// Share of the multiple that brings a cold replica down which may be used up on the word of the settings alone.
+const COLD_TOLD: f64 = 0.7;
+/// Share of the aim within which a cold replica's answers show that it has room, and how much more it then
+/// gets: its true start lies anywhere above the told one.
+const COLD_QUICK: (f64, f64) = (0.25, 1.7);
 /// Share of the aim past which a query's slowest part has it refused.
 const REFUSE_AT: f64 = 0.5;
 /// Bounds of the factor by which a query's worth for its parts moves that share.
@@ -67,7 +72,9 @@
 const RENEW_AIMS: f64 = 15.0;
 /// What a second refusal of one part takes off the share of queries let in, what an answer adds to it, and the
 /// least of it: one that learns nothing any more would never open again.
-const LET_IN: (f64, f64, f64) = (0.15, 0.005, 0.1);
+const LET_IN: (f64, f64, f64) = (0.15, 0.03, 0.1);
+/// The same for a query that is given up with parts in or out: their work was for nothing.
+const LOST_SHUTS: f64 = 0.4;
 /// Beats (our own timer) kept free before a moment that must not be missed.
 const SPARE_BEATS: Nanos = 2;
 
@@ -180,6 +187,8 @@
     extras: VecDeque<Nanos>,
     /// Parts answered to us, fading over `memory`, when that was counted, and when we started.
     served: (f64, Nanos),
+    /// Mean number of parts of a query.
+    breadth: Option<f64>,
     born: Nanos,
     /// The usual patience of first tries of a class and tenant, and by how many votes it leads.
     patience: BTreeMap<(usize, usize), (Nanos, u32)>,
@@ -298,7 +307,7 @@
             (replica.cell, replica.zone, replica.standing) = (member.cell, member.zone, member.standing);
             if member.standing == Standing::Ready && replica.started != member.started {
                 replica.started = member.started;
-                (replica.latency, replica.pace) = (None, None);
+                (replica.latency, replica.pace, replica.answered) = (None, None, 0);
                 (replica.strikes, replica.suspected) = (0, false);
             }
         }
@@ -393,16 +402,16 @@
             self.races_lost += RACE * (f64::from(u8::from(first)) - self.races_lost);
         }
         part.landed |= outcome == Outcome::Ok;
-        if outcome == Outcome::Refused && number > 0 {
-            self.kept_out += LET_IN.0 * (1.0 - LET_IN.2 - self.kept_out).max(0.0);
-        } else if outcome == Outcome::Ok {
-            self.kept_out = (self.kept_out - LET_IN.1).max(0.0);
-        }
         let bad = outcome == Outcome::Refused || outcome == Outcome::Unreachable && pressing;
         if (part.landed || bad) && !part.counted {
             part.counted = true;
             self.judged.push_back((self.now, bad));
         }
+        if outcome == Outcome::Refused && number > 0 {
+            self.keep_out(LET_IN.0);
+        } else if outcome == Outcome::Ok {
+            self.kept_out *= 1.0 - LET_IN.1;
+        }
     }
 
     fn forget(&mut self, query: &Query) {
@@ -466,6 +475,10 @@
         self.kept_out > 0.0 && self.toss() < self.kept_out
     }
 
+    fn keep_out(&mut self, share: f64) {
+        self.kept_out += share * (1.0 - LET_IN.2 - self.kept_out).max(0.0);
+    }
+
     fn toss(&mut self) -> f64 {
         let mut random = fastrand::Rng::with_seed(self.random);
         let toss = random.f64();
@@ -497,7 +510,10 @@
     /// Worth of a part against the usual: queries that earn much for little work may wait in longer queues.
     fn density(&mut self, query: &Query) -> f64 {
         let worth = self.settings.classes[query.class].worth.unwrap_or(1.0);
-        let own = worth / query.parts.len().max(1) as f64;
+        let parts = query.parts.len().max(1) as f64;
+        let breadth = self.breadth.get_or_insert(parts);
+        *breadth += SMOOTHING_ALL * (parts - *breadth);
+        let own = worth / parts;
         let usual = self.usual_density.get_or_insert(own);
         *usual += SMOOTHING_ALL * (own - *usual);
         (own / usual.max(f64::MIN_POSITIVE)).clamp(DENSITY.0, DENSITY.1)
@@ -633,8 +649,9 @@
         replica.standing == Standing::Ready && (recent as f64) < self.cold_room(replica)
     }
 
-    /// Slow start: the guide is what its likes answered to us for long; what was sent is nothing where all
-    /// are cold. Dozens with one part each push it over: of less than one, the seed decides when it goes.
+    /// Slow start: the guide is what its likes answered to us for long, or where that is little yet, what the
+    /// tenants' allowances say that all can bear: at no room the warm ones are left with all the work. Dozens
+    /// with one part each push it over: of less than one, the seed decides when it goes.
     fn cold_room(&self, replica: &Replica) -> f64 {
         let told = self.settings.cold_from.zip(self.settings.fall_multiple);
         let Some((from, multiple)) = told else { return f64::INFINITY };
@@ -646,10 +663,15 @@
         let ready = self.replicas.values().filter(|r| r.standing == Standing::Ready).count().max(1);
         let span = self.settings.fall_time.max(1);
         let counted = self.memory().min((self.now - self.born).max(self.settings.cold_time) as f64);
-        let usual = self.served.0 / ready as f64 * span as f64 / counted;
+        let mixers = f64::from(self.settings.coordinators.max(1));
+        let told = self.settings.allowance * self.breadth.unwrap_or(0.0) / mixers / SECOND as f64;
+        let usual = (self.served.0 / counted).max(COLD_TOLD * told) * span as f64 / ready as f64;
+        let answers = replica.answered > 0 && self.now >= replica.full_until;
+        let quick = answers && self.latency(replica) < COLD_QUICK.0 * self.shortest_aim();
+        let usual = if quick { COLD_QUICK.1 * usual } else { usual };
         let seed = self.seed ^ replica.started ^ (self.now / span).rotate_left(32);
         let turn = fastrand::Rng::with_seed(seed).f64();
-        ((multiple * warmth * usual).max(1.0 / self.settings.coordinators.max(1) as f64) + turn).floor()
+        ((multiple * warmth * usual).max(1.0 / mixers) + turn).floor()
     }
 
     fn memory(&self) -> f64 {
@@ -952,7 +974,10 @@
         let harm = Self::harmful(&query);
         let idle = query.parts.iter().flat_map(|p| &p.attempts).all(|a| !a.out);
         let lost = begun && (!waiting || landed + open.iter().sum::<f64>() + 1e-4 < least);
-        if self.now >= useful.min(last_call) || lost || harm && idle {
+        let over = self.now >= useful.min(last_call);
+        if over || lost || harm && idle {
+            let wasted = query.parts.iter().any(|p| p.landed || p.attempts.iter().any(|a| a.out));
+            self.keep_out(if wasted { LOST_SHUTS } else { 0.0 });
             return self.give_up(query, actions);
         }
         if !harm || (self.now - query.step_began) as f64 > self.wait(self.shortest_aim()) {
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -87,6 +87,8 @@
     pub fall_multiple: Option<f64>,
     pub fall_time: Nanos,
     pub budget: Option<Budget>,
+    /// Queries a second that all co-ordinators together are to bear, over all tenants; 0 where not told.
+    pub allowance: f64,
     /// Connections without use are closed after so long.
     pub idle_time: Nanos,
     /// The list of replicas has to be asked for.
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -80,7 +80,8 @@
     ) -> (u64, Vec<Action>) {
         let (id, group) = (self.next * 100, self.next as u32);
         self.next += 1;
-        let mut events = vec![Event::Query { id, group, class, tenant: 0, patience, lag: 0, work: None, repeat }];
+        let mut events =
+            vec![Event::Query { id, group, class, tenant: 0, patience, lag: 0, work: None, repeat }];
         for (i, weight) in weights.iter().enumerate() {
             events.push(Event::Part { id: id + 1 + i as u64, group, shard: i as u32, weight: *weight });
         }
@@ -973,3 +974,62 @@
     }
     assert_eq!(let_in(&mut bed, 50_000), 40, "answers open it again");
 }
+
+/// Parts that reach a cold replica in its first second, of a query each 20 ms that may go nowhere else.
+fn sent_to_a_cold_one(allowance: f64, took: Option<u64>) -> usize {
+    let mut bed = Bed::new(Settings { allowance, ..cold() }, 0);
+    bed.list(ListKind::Full, vec![Member { started: START - MS, ..member(1) }]);
+    let mut count = 0;
+    for at in (0..50).map(|i| i * 20) {
+        let (id, actions) = bed.query(at, 0, &[1.0]);
+        count += sends(&actions).len();
+        if let (Some(took), Some((_, replica))) = (took, sends(&actions).first()) {
+            bed.end(at + took, id + 1, 0, *replica, Outcome::Ok);
+        }
+    }
+    count
+}
+
+/// A mixer that has just started, or that meets each of many replicas seldom, has little to reckon by: cold
+/// servers stood idle while the warm ones left were swamped.
+#[test]
+fn room_at_a_cold_replica_is_reckoned_from_what_the_tenants_may_ask() {
+    assert!(sent_to_a_cold_one(0.0, None) <= 3);
+    // 50 a second may be asked; cold to a fifth it bears 10, and four times that brings it down.
+    let told = sent_to_a_cold_one(50.0, None);
+    assert!((15..=40).contains(&told), "{told}");
+    assert!(sent_to_a_cold_one(25.0, None) < told);
+}
+
+#[test]
+fn a_cold_replica_that_answers_quickly_gets_more() {
+    let quiet = sent_to_a_cold_one(25.0, None);
+    let quick = sent_to_a_cold_one(25.0, Some(10));
+    assert!(quick > quiet + quiet / 3 && quick <= 40, "{quick} and {quiet}");
+}
+
+/// A query that is given up with parts out has cost their work for nothing; the next ones would too.
+#[test]
+fn queries_that_are_given_up_with_parts_out_keep_others_out() {
+    let mut bed = Bed::new(settings(vec![class(2000, 1.0)]), 4);
+    let refused = |bed: &mut Bed, from: u64| {
+        let mut count = 0;
+        for i in 0..40 {
+            let (id, actions) = bed.query(from + i, 0, &[1.0]);
+            count += usize::from(finals(&actions) == ["refused"]);
+            bed.at(from + i, &[Event::ClientGone { id }]);
+            bed.at(from + i, &all_end(&sends(&actions), Outcome::Cancelled));
+        }
+        count
+    };
+    assert_eq!(refused(&mut bed, 0), 0);
+    for at in (1..=6).map(|i| i * 3_000) {
+        let sent = sends(&bed.query(at, 0, &[1.0]).1);
+        let copies = sends(&bed.run(at + 10, at + 2_010));
+        bed.at(at + 2_010, &all_end(&sent, Outcome::TimedOut));
+        let copy = |(part, replica): &(u64, ReplicaId)| ended(*part, 1, *replica, Outcome::TimedOut);
+        bed.at(at + 2_010, &copies.iter().take(1).map(copy).collect::<Vec<_>>());
+    }
+    let kept_out = refused(&mut bed, 40_000);
+    assert!((20..40).contains(&kept_out), "{kept_out} of 40");
+}
--- a/crates/mixer/src/routing/backoff.rs
+++ b/crates/mixer/src/routing/backoff.rs
@@ -75,7 +75,9 @@
     #[test]
     fn what_was_had_is_asked_for_again_soon() {
         let mut backoff = Backoff::new(1, 100);
-        (0..10).for_each(|_| drop(backoff.after(false, None)));
+        for _ in 0..10 {
+            backoff.after(false, None);
+        }
         assert!(backoff.after(false, None) >= MS(8_000));
         assert!(backoff.after(true, None) <= MS(2_000));
         let mut few = Backoff::new(1, 3);
--- a/crates/mixer/src/settings.rs
+++ b/crates/mixer/src/settings.rs
@@ -102,6 +102,7 @@
         fall_multiple: pairs.number("guarantees.fall_multiple")?,
         fall_time: pairs.time("guarantees.fall_ns")?,
         budget: budget(&pairs)?,
+        allowance: allowance(&pairs)?,
         idle_time: pairs.time("limits.conn_idle_ns")?,
         list_on_request: pairs.0.get("discovery") == Some(&"on_request"),
         list_within: pairs.time("guarantees.ask_within_ns")?,
@@ -136,6 +137,13 @@
     })
 }
 
+/// A tenant that states none adds nothing.
+fn allowance(pairs: &Pairs) -> Result<f64, String> {
+    let count = pairs.get::<usize>("orgs.count")?.unwrap_or_default();
+    let of = |i| pairs.number(&format!("orgs.{i}.allowance_per_s"));
+    (0..count).map(of).try_fold(0.0, |sum, one| Ok(sum + one?.unwrap_or_default()))
+}
+
 fn budget(pairs: &Pairs) -> Result<Option<Budget>, String> {
     let floor = pairs.number("guarantees.extra_floor")?;
     let share = pairs.number("guarantees.budget_share")?;
