--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -18,8 +18,8 @@
 const PRESSURE_LEAST: usize = 8;
 /// The cutoff's window and its least time between two steps (design: the last second), ns.
 const SECOND: Nanos = 1_000_000_000;
-/// Seconds without pressure after which the cutoff sinks by one step.
-const QUIET_SECONDS: Nanos = 3;
+/// Seconds without pressure after which the cutoff sinks.
+const QUIET_SECONDS: Nanos = 2;
 /// Share of the time that a step may take after which its parts are late (design: starts at three quarters).
 const LATE_AT: f64 = 0.8;
 /// Weight of a new sample in a replica's smoothed latency: about the last five answers count.
@@ -72,9 +72,9 @@
 const RENEW_AIMS: f64 = 15.0;
 /// What a second refusal of one part takes off the share of queries let in, what an answer adds to it, and the
 /// least of it: one that learns nothing any more would never open again.
-const LET_IN: (f64, f64, f64) = (0.15, 0.03, 0.1);
+const LET_IN: (f64, f64, f64) = (0.25, 0.03, 0.1);
 /// The same for a query that is given up with parts in or out: their work was for nothing.
-const LOST_SHUTS: f64 = 0.4;
+const LOST_SHUTS: f64 = 0.6;
 /// Beats (our own timer) kept free before a moment that must not be missed.
 const SPARE_BEATS: Nanos = 2;
 
@@ -572,7 +572,7 @@
         if pressure && rested {
             self.cutoff = (before + CUTOFF_STEP).min(CUTOFF_TOP);
         } else if rested && self.now.saturating_sub(self.last_pressure) >= QUIET_SECONDS * SECOND {
-            self.cutoff = (before - CUTOFF_STEP).max(0.0);
+            self.cutoff = 0.0;
         }
         if self.cutoff != before {
             self.cutoff_moved = self.now;
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -230,6 +230,17 @@
     }
 }
 
+/// Step by step it took seven seconds, in which light parts were left out that all could be served.
+#[test]
+fn cutoff_sinks_at_once_however_high_it_was() {
+    let mut bed = Bed::new(settings(vec![class(2000, 0.5)]), 3);
+    press(&mut bed, 0, 0);
+    press(&mut bed, 0, 2000);
+    bed.query(3950, 0, &[1.0]);
+    let after: Vec<Action> = (40..=72).flat_map(|t| bed.tick(t * 100)).collect();
+    assert!(logs(&after, "cutoff back at zero"), "by two seconds after the last second with late parts");
+}
+
 #[test]
 fn cutoff_sinks_after_quiet_seconds() {
     let mut bed = Bed::new(settings(vec![class(2000, 0.5)]), 3);
