--- a/crates/mixer/src/routing/backoff.rs
+++ b/crates/mixer/src/routing/backoff.rs
@@ -15,6 +15,7 @@
 pub struct Backoff {
     first: Duration,
     longest: Duration,
+    again: bool,
     random: Rng,
 }
 
@@ -22,20 +23,21 @@
     /// For one of so many `mixers`; they must have different seeds, or they would wait alike.
     pub fn new(seed: u64, mixers: u32) -> Backoff {
         let first = (EACH * mixers.max(1)).min(MOST);
-        Backoff { first, longest: first, random: Rng::with_seed(seed) }
+        Backoff { first, longest: first, again: false, random: Rng::with_seed(seed) }
     }
 
-    /// How long to wait after a try that has ended; `had` says that it brought what was asked for, so that the
-    /// next failure is a first one, `told` what the other end asked for at the least. How long a try took says
-    /// nothing: an overbooked service lets its callers wait before it turns them away. The first wait is anything from none up, so that what failed for all at one moment is
-    /// not asked for by all at another; later ones are never short, so that the asking becomes less.
+    /// How long to wait after a try that has ended; `had` says that it brought what was asked for, so that
+    /// the next failure is a first one, `told` what the other end asked for at the least. How long a try took
+    /// says nothing: an overbooked service lets its callers wait before it turns them away. The first wait is
+    /// anything from none up, so that what failed for all at one moment is not asked for by all at another;
+    /// later ones are never short, so that the asking becomes less.
     pub fn after(&mut self, had: bool, told: Option<Duration>) -> Duration {
         if had {
-            self.longest = self.first;
+            (self.longest, self.again) = (self.first, false);
         }
-        let first = self.longest == self.first;
-        let least = if first { Duration::ZERO } else { self.longest / 2 };
+        let least = if self.again { self.longest / 2 } else { Duration::ZERO };
         let wait = least + (self.longest - least).mul_f64(self.random.f64());
+        self.again = true;
         self.longest = (self.longest * 2).min(MOST);
         // Spread past the told time too: whoever was turned away together was told the same.
         wait + told.unwrap_or_default().min(MOST)
