Test the aim's lag; a repeat is hasty by its own time spent, not by the lag

Need: counting the aim from the client's sending came without a test. The new one fails when the lag is not taken off. Read again, take_query (choice.rs) had mixed the lag into what earlier tries have spent, so that a repeat that had spent less than the lag counted as hasty and was refused; the two are kept apart now.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -335,11 +335,11 @@
         let Event::Query { id, group, class, tenant, patience, lag, work, repeat } = *event else { return };
         self.taken.push_back(self.now);
         let class = class as usize;
-        let spent = self.spent((class, tenant as usize), patience, repeat).max(lag);
+        let spent = self.spent((class, tenant as usize), patience, repeat);
         let Some(kind) = self.settings.classes.get(class) else { return };
         let stretch = kind.aim_stretch.unwrap_or(0.0) * work.unwrap_or(0) as f64;
         let deadline = self.now + patience;
-        let aim = (self.now + kind.aim + stretch as Nanos).saturating_sub(spent);
+        let aim = (self.now + kind.aim + stretch as Nanos).saturating_sub(spent.max(lag));
         let query = Query {
             id,
             group,
@@ -347,7 +347,7 @@
             arrived: self.now,
             aim: if aim > self.now { aim.min(deadline) } else { deadline },
             late: aim <= self.now,
-            hasty: repeat && spent == lag && patience < kind.aim,
+            hasty: repeat && spent == 0 && patience < kind.aim,
             deadline,
             step: 1,
             step_began: self.now,
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -955,6 +955,33 @@
     assert_eq!(sends(&actions).len(), 1, "{actions:?}");
 }
 
+/// The client counts from its sending: what was on the way before the decision, and the answer's way back, come off
+/// the aim as they come off the patience. Answers went out milliseconds too late for their full worth.
+#[test]
+fn an_answer_at_the_last_moment_leaves_time_for_its_way_back() {
+    let answered = |lag: u64| {
+        let mut bed = Bed::new(settings(vec![class(600, 0.5)]), 2);
+        let (id, group) = (100, 1);
+        let query = Event::Query {
+            id,
+            group,
+            class: 0,
+            tenant: 0,
+            patience: 1600 * MS,
+            lag: lag * MS,
+            work: None,
+            repeat: false,
+        };
+        let part = |i| Event::Part { id: id + i, group, shard: i as u32, weight: 0.5 };
+        let sent = sends(&bed.at(0, &[query, part(1), part(2)]));
+        bed.end(50, sent[0].0, 0, sent[0].1, Outcome::Ok);
+        (6..80).map(|t| t * 10).find(|at| finals(&bed.tick(*at)).contains(&"partial"))
+    };
+    let (at_once, later) = (answered(0).expect("in time"), answered(40).expect("in time"));
+    assert!(later <= 560, "{later} ms of an aim that ends after 560");
+    assert_eq!(at_once - later, 40);
+}
+
 /// Parts that the leaf servers took go on running when their query is given up. A hundred co-ordinators that
 /// each send on while all holders turn parts away keep every queue full of work for nobody.
 #[test]
