Let quick answers swell only the room told by allowances at cold servers

Only the told measure grows now. Also: breadth is counted where a query begins, not inside density; ask_later uses toss; a needless branch is gone.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -325,9 +325,7 @@
         }
         let within = (self.settings.list_within as f64).max(FADE_AIMS * self.shortest_aim());
         let most = (ASK_AGAIN.0 * f64::from(1u32 << self.asks_failed.min(16))).min(ASK_AGAIN.1);
-        let mut random = fastrand::Rng::with_seed(self.random);
-        self.ask_at = Some(self.now + (within * most * (0.5 + random.f64())) as Nanos);
-        self.random = random.get_seed();
+        self.ask_at = Some(self.now + (within * most * (0.5 + self.toss())) as Nanos);
         self.asks_failed += 1;
     }
 
@@ -447,6 +445,9 @@
     fn begin(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(mut query) = self.queries.remove(&id) else { return };
         if query.step == 1 {
+            let parts = query.parts.len() as f64;
+            let breadth = self.breadth.get_or_insert(parts);
+            *breadth += SMOOTHING_ALL * (parts - *breadth);
             if self.hopeless(&mut query) || self.kept_out() {
                 return self.give_up(query, actions);
             }
@@ -510,10 +511,7 @@
     /// Worth of a part against the usual: queries that earn much for little work may wait in longer queues.
     fn density(&mut self, query: &Query) -> f64 {
         let worth = self.settings.classes[query.class].worth.unwrap_or(1.0);
-        let parts = query.parts.len().max(1) as f64;
-        let breadth = self.breadth.get_or_insert(parts);
-        *breadth += SMOOTHING_ALL * (parts - *breadth);
-        let own = worth / parts;
+        let own = worth / query.parts.len().max(1) as f64;
         let usual = self.usual_density.get_or_insert(own);
         *usual += SMOOTHING_ALL * (own - *usual);
         (own / usual.max(f64::MIN_POSITIVE)).clamp(DENSITY.0, DENSITY.1)
@@ -665,10 +663,11 @@
         let counted = self.memory().min((self.now - self.born).max(self.settings.cold_time) as f64);
         let mixers = f64::from(self.settings.coordinators.max(1));
         let told = self.settings.allowance * self.breadth.unwrap_or(0.0) / mixers / SECOND as f64;
-        let usual = (self.served.0 / counted).max(COLD_TOLD * told) * span as f64 / ready as f64;
         let answers = replica.answered > 0 && self.now >= replica.full_until;
         let quick = answers && self.latency(replica) < COLD_QUICK.0 * self.shortest_aim();
-        let usual = if quick { COLD_QUICK.1 * usual } else { usual };
+        // More of what is told only: what was answered is used up to the whole multiple already.
+        let told = COLD_TOLD * told * if quick { COLD_QUICK.1 } else { 1.0 };
+        let usual = (self.served.0 / counted).max(told) * span as f64 / ready as f64;
         let seed = self.seed ^ replica.started ^ (self.now / span).rotate_left(32);
         let turn = fastrand::Rng::with_seed(seed).f64();
         ((multiple * warmth * usual).max(1.0 / mixers) + turn).floor()
@@ -974,10 +973,10 @@
         let harm = Self::harmful(&query);
         let idle = query.parts.iter().flat_map(|p| &p.attempts).all(|a| !a.out);
         let lost = begun && (!waiting || landed + open.iter().sum::<f64>() + 1e-4 < least);
-        let over = self.now >= useful.min(last_call);
-        if over || lost || harm && idle {
-            let wasted = query.parts.iter().any(|p| p.landed || p.attempts.iter().any(|a| a.out));
-            self.keep_out(if wasted { LOST_SHUTS } else { 0.0 });
+        if self.now >= useful.min(last_call) || lost || harm && idle {
+            if query.parts.iter().any(|p| p.landed || p.attempts.iter().any(|a| a.out)) {
+                self.keep_out(LOST_SHUTS);
+            }
             return self.give_up(query, actions);
         }
         if !harm || (self.now - query.step_began) as f64 > self.wait(self.shortest_aim()) {
