Test a rolling change on real processes: SIGTERM in turn, discovery moved, leaves replaced

The stand-in installation gains stop_mixer (SIGTERM, wait for a clean end) and move_discovery (a new discovery with the same list, every configuration rewritten, SIGHUP, then the old one stops). crates/standins/tests/rolling.rs runs three mixers and twelve leaf servers through it, with a zone's leaf servers replaced cold, six clients asking throughout and turning from a mixer once it is told to end.

The mixer is unchanged.

--- a/crates/standins/src/installation.rs
+++ b/crates/standins/src/installation.rs
@@ -55,7 +55,7 @@
     pub usage: PathBuf,
     config: PathBuf,
     settings: PathBuf,
-    log: PathBuf,
+    pub log: PathBuf,
     pub process: Option<Process>,
 }
 
@@ -222,6 +222,40 @@
         self.mixers[at].process = None;
     }
 
+    /// Ends a mixer as a rolling change does, by SIGTERM: true if it ended with success within `most`.
+    pub fn stop_mixer(&mut self, at: usize, most: Duration) -> bool {
+        let ended = self.mixers[at].process.as_mut().is_some_and(|process| process.end(most));
+        self.mixers[at].process = None;
+        ended
+    }
+
+    /// Discovery moves: a new one at another address knows the same list, every mixer's configuration names it and
+    /// each running mixer is told by SIGHUP; then the old one stops, so a mixer that kept to it would hear no more.
+    ///
+    /// # Errors
+    /// There is no port, or a configuration can't be rewritten.
+    pub async fn move_discovery(&mut self) -> io::Result<()> {
+        let moved = Discovery::start(self.ip).await?;
+        moved.tell(self.discovery.known()["endpoints"].as_array().cloned().unwrap_or_default());
+        for mixer in &self.mixers {
+            let mut config: Value = serde_json::from_str(&fs::read_to_string(&mixer.config)?)?;
+            config["discovery"] = json!(moved.address);
+            fs::write(&mixer.config, format!("{config:#}"))?;
+            if let Some(process) = &mixer.process {
+                process.signal("-HUP")?;
+            }
+        }
+        // Long enough for a mixer to read its file again; the test asks nothing of this wait but that.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        self.discovery = moved;
+        Ok(())
+    }
+
+    /// The address that discovery answers at now.
+    pub fn discovery(&self) -> SocketAddr {
+        self.discovery.address
+    }
+
     /// A zone is dark: its leaf servers are gone without a word from discovery.
     pub fn lose_zone(&mut self, zone: usize) {
         self.slots.iter_mut().filter(|slot| slot.zone == zone).for_each(|slot| slot.leaf = None);
