--- a/crates/mixer/src/routing/replicas.rs
+++ b/crates/mixer/src/routing/replicas.rs
@@ -92,6 +92,8 @@
         };
         let id = *self.numbers.entry(endpoint.name.clone()).or_insert_with(|| {
             self.last += 1;
+            // Numbers are this process's own: the name is what ties the logs of a fleet together.
+            tracing::debug!(replica = self.last, name = endpoint.name, %address, "replica numbered");
             ReplicaId(self.last)
         });
         let zone = self.zones.iter().position(|zone| *zone == endpoint.zone);
