Watch a pushed list again within the drain grace; read lists of any size and layout

Ruled out for this case: the reducer (lists were taken within 1 ms of their lines, and the mixers with a watch open sent nothing late) and frames that waited.

Change: routing/watching.rs states one rule for each way of discovery, chosen from the settings. Pushed: silence is noticed after 3 s and tries begin a fifth of the grace apart, so a watch that lasted is opened anew at once. Asked: spread and backed off as before, within what the settings let a mixer go without asking, and after silence within the 6 s clock.

Also found there: an object of a watch was taken to be one line of at most 64 KiB, so an indented list, or a whole one of about 400 servers, ended each watch; one entry that does not fit lost the whole list. Objects are now found wherever lines and chunks end, up to 4 MiB (4,096 entries of 1 KiB), and an entry that can't be used makes whom it names leave, no more.

The test in sockets.rs fails on the code before, as do those of lists that are indented or large.

--- a/crates/mixer/src/protocol/http.rs
+++ b/crates/mixer/src/protocol/http.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 as the client side and the discovery agent speak it: a server codec for whole requests and a
-//! client codec for one watch. Bodies have a length or come in chunks and hold 64 KiB at most.
+//! client codec for one watch. Bodies have a length or come in chunks; a request's holds 64 KiB at most.
 
+use super::discovery::{Objects, MOST_OBJECT};
 use crate::interface::Nanos;
 use bytes::{Buf, Bytes, BytesMut};
 use std::io::{self, ErrorKind};
@@ -298,11 +299,11 @@
     pub from: u64,
 }
 
-/// The client's side of one watch: a request out, then lines as they come.
+/// The client's side of one watch: a request out, then objects as they come.
 #[derive(Default)]
 pub struct WatchCodec {
     body: Option<Body>,
-    line: BytesMut,
+    objects: Objects,
 }
 
 impl Encoder<WatchRequest> for WatchCodec {
@@ -366,7 +367,7 @@
 }
 
 impl Decoder for WatchCodec {
-    /// One line without its end; empty ones are the agent's sign of life.
+    /// One whole object, or nothing where what came is none yet: it shows that the agent lives.
     type Item = Bytes;
     type Error = io::Error;
 
@@ -375,15 +376,15 @@
             self.body = Self::read_head(src)?;
         }
         let Some(body) = &mut self.body else { return Ok(None) };
-        let whole = body.read(src, &mut self.line, MOST_BODY).map_err(|e| invalid(format!("{e:?}")))?;
-        if let Some(end) = self.line.iter().position(|b| *b == b'\n') {
-            let line = Bytes::copy_from_slice(&self.line[..end]);
-            self.line.advance(end + 1);
-            return Ok(Some(line));
-        }
-        if whole {
+        let before = src.len();
+        let whole = body.read(src, self.objects.held(), MOST_OBJECT).map_err(|broken| match broken {
+            Broken::Chunk => invalid("bad chunk"),
+            Broken::TooLarge => invalid(format!("an object of over {MOST_OBJECT} bytes")),
+        })?;
+        let object = self.objects.whole().or((src.len() < before).then(Bytes::new));
+        if object.is_none() && whole {
             return Err(ErrorKind::UnexpectedEof.into());
         }
-        Ok(None)
+        Ok(object)
     }
 }
--- a/crates/mixer/src/routing/backoff.rs
+++ b/crates/mixer/src/routing/backoff.rs
@@ -15,15 +15,19 @@
 pub struct Backoff {
     first: Duration,
     longest: Duration,
+    /// The longest wait whatever comes.
+    most: Duration,
     again: bool,
     random: Rng,
 }
 
 impl Backoff {
-    /// For one of so many `mixers`; they must have different seeds, or they would wait alike.
-    pub fn new(seed: u64, mixers: u32) -> Backoff {
-        let first = (EACH * mixers.max(1)).min(MOST);
-        Backoff { first, longest: first, again: false, random: Rng::with_seed(seed) }
+    /// For one of so many `mixers`; they must have different seeds, or they would wait alike. Half of `within`, where
+    /// there is one, is for the call itself: after the first try that failed four times as long is allowed.
+    pub fn new(seed: u64, mixers: u32, within: Option<Duration>) -> Backoff {
+        let most = within.map_or(2 * MOST, |within| 2 * within);
+        let first = EACH.saturating_mul(mixers.max(1)).min(MOST).min(most / 4);
+        Backoff { first, longest: first, most, again: false, random: Rng::with_seed(seed) }
     }
 
     /// How long to wait after a try that has ended; `had` says that it brought what was asked for, so that
@@ -38,9 +42,9 @@
         let least = if self.again { self.longest / 2 } else { Duration::ZERO };
         let wait = least + (self.longest - least).mul_f64(self.random.f64());
         self.again = true;
-        self.longest = (self.longest * 2).min(MOST);
+        self.longest = (self.longest * 2).min(MOST).min(self.most);
         // Spread past the told time too: whoever was turned away together was told the same.
-        wait + told.unwrap_or_default().min(MOST)
+        wait + told.unwrap_or_default().min(MOST).min(self.most - wait)
     }
 }
 
@@ -54,7 +58,7 @@
     fn asks(mixers: u64, until: Duration) -> Vec<u64> {
         let mut all = Vec::new();
         for seed in 0..mixers {
-            let mut backoff = Backoff::new(seed, 100);
+            let mut backoff = Backoff::new(seed, 100, None);
             let mut at = backoff.after(false, None);
             while at < until {
                 all.push(at.as_millis() as u64);
@@ -76,22 +80,22 @@
 
     #[test]
     fn what_was_had_is_asked_for_again_soon() {
-        let mut backoff = Backoff::new(1, 100);
+        let mut backoff = Backoff::new(1, 100, None);
         for _ in 0..10 {
             backoff.after(false, None);
         }
         assert!(backoff.after(false, None) >= MS(8_000));
         assert!(backoff.after(true, None) <= MS(5_000));
-        let mut few = Backoff::new(1, 3);
+        let mut few = Backoff::new(1, 3, None);
         assert!(few.after(true, None) <= MS(150), "three do not overbook anything");
     }
 
     #[test]
     fn who_is_told_when_to_come_back_does_not_come_before_nor_wait_for_ever() {
         let waits: Vec<Duration> =
-            (0..50).map(|seed| Backoff::new(seed, 100).after(false, Some(MS(2_000)))).collect();
+            (0..50).map(|seed| Backoff::new(seed, 100, None).after(false, Some(MS(2_000)))).collect();
         assert!(waits.iter().all(|wait| (MS(2_000)..=MS(7_000)).contains(wait)), "{waits:?}");
         assert!(waits.iter().max() > waits.iter().min(), "and not all at once");
-        assert!(Backoff::new(1, 100).after(false, Some(Duration::from_secs(86_400))) <= MS(21_000));
+        assert!(Backoff::new(1, 100, None).after(false, Some(Duration::from_secs(86_400))) <= MS(21_000));
     }
 }
--- a/crates/mixer/src/routing/mod.rs
+++ b/crates/mixer/src/routing/mod.rs
@@ -8,7 +8,8 @@
 mod replicas;
 mod state;
 pub mod usage;
+pub mod watching;
 
-pub use backoff::Backoff;
 pub use messages::{ClientId, Effect, Input, LinkId};
 pub use state::State;
+pub use watching::Watching;
--- a/crates/mixer/src/routing/replicas.rs
+++ b/crates/mixer/src/routing/replicas.rs
@@ -74,22 +74,23 @@
     }
 
     fn member(&mut self, endpoint: &Endpoint) -> Option<Member> {
-        let standing = match endpoint.status {
-            Status::Up => Standing::Ready,
-            Status::Draining => Standing::Draining,
-            Status::Removed => Standing::Gone,
-        };
         let number = self.numbers.get(&endpoint.name).copied();
         let known = number.and_then(|id| self.known.get(&id)).map(|r| r.address);
-        // What is gone needs no address; what is up can't be reached without one.
-        let Some(address) = endpoint.address.parse().ok().or(known) else {
+        let stated = endpoint.address.parse().ok();
+        if stated.is_none() {
             tracing::warn!(
                 name = endpoint.name,
                 address = endpoint.address,
                 "listed without a usable address"
             );
-            return None;
+        }
+        let standing = match endpoint.status {
+            // What is up can't be reached without one; it may have left where it was.
+            Status::Up if stated.is_some() => Standing::Ready,
+            Status::Up | Status::Draining => Standing::Draining,
+            Status::Removed => Standing::Gone,
         };
+        let address = stated.or(known)?;
         let id = *self.numbers.entry(endpoint.name.clone()).or_insert_with(|| {
             self.last += 1;
             // Numbers are this process's own: the name is what ties the logs of a fleet together.
--- a/crates/mixer/src/routing/state/mod.rs
+++ b/crates/mixer/src/routing/state/mod.rs
@@ -6,12 +6,12 @@
 mod turns;
 mod usage;
 
-use super::backoff::Backoff;
 use super::counters::Counters;
 use super::link::{AttemptId, Link, Phase};
 use super::messages::{ClientId, Effect, Input, LinkId};
 use super::replicas::Replicas;
 use super::usage::JoinKey;
+use super::watching::{Watching, Way};
 use crate::interface::*;
 use crate::protocol::discovery::Listing;
 use crate::settings::Site;
@@ -19,6 +19,7 @@
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::time::Duration;
 use usage::Recording;
 
 const MS: Nanos = 1_000_000;
@@ -113,7 +114,7 @@
 /// All that the mixer knows and is doing.
 pub struct State {
     site: Site,
-    backoff: Backoff,
+    watching: Watching,
     module: Coordinator,
     events: Vec<Event>,
     effects: Vec<Effect>,
@@ -144,6 +145,16 @@
     recording: Option<Recording>,
 }
 
+/// How discovery tells of changes, as the settings state it.
+fn way(site: &Site, settings: &Settings) -> Way {
+    if settings.list_on_request {
+        let within = Duration::from_nanos(settings.list_within);
+        Way::Asked { within: Some(within).filter(|within| !within.is_zero()) }
+    } else {
+        Way::Pushed { grace: Duration::from_nanos(site.drain_grace) }
+    }
+}
+
 impl State {
     /// Starts with the list as it was last held, which may be old, and as many descriptors as it may hold.
     pub fn new(
@@ -153,8 +164,8 @@
             most_links: descriptors * LINK_HUNDREDTHS / 100,
             most_clients: descriptors * CLIENT_HUNDREDTHS / 100,
             replicas: Replicas::new(site.zones.clone()),
+            watching: Watching::new(way(&site, &settings), seed, settings.coordinators),
             site,
-            backoff: Backoff::new(seed, settings.coordinators),
             module: Coordinator::new(settings, seed),
             events: Vec::new(),
             effects: Vec::new(),
@@ -184,9 +195,9 @@
         state
     }
 
-    /// The waits between tries at discovery.
-    pub fn backoff(&self) -> Backoff {
-        self.backoff.clone()
+    /// How fresh the list is kept.
+    pub fn watching(&self) -> Watching {
+        self.watching.clone()
     }
 
     /// The version of the list that is held: where a watch goes on from.
--- a/crates/mixer/src/settings.rs
+++ b/crates/mixer/src/settings.rs
@@ -177,6 +177,8 @@
     pub connect_timeout: u64,
     pub idle_time: u64,
     pub come_back: u64,
+    /// Nothing new goes to a replica later than this after it was told draining or gone.
+    pub drain_grace: u64,
     pub peers: bool,
     pub may_probe: bool,
     /// Names of the values in a load report; none where nothing is reported.
@@ -209,6 +211,7 @@
         connect_timeout: pairs.get("limits.connect_timeout_ns")?.unwrap_or(CONNECT_TIMEOUT),
         idle_time: pairs.get("limits.conn_idle_ns")?.unwrap_or(IDLE_TIME),
         come_back: pairs.time("limits.max_retry_after_ns")?,
+        drain_grace: pairs.time("guarantees.stop_sending_within_ns")?,
         peers: pairs.flag("limits.peers")?,
         may_probe: pairs.flag("limits.may_probe")?,
         report: pairs.list("reporting.fields"),
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -15,7 +15,7 @@
 pub use ledger::Recorder;
 
 use crate::protocol::query::{Names, Reply};
-use crate::routing::{Backoff, ClientId, Effect, Input, LinkId, State};
+use crate::routing::{ClientId, Effect, Input, LinkId, State, Watching};
 use futures_util::StreamExt;
 use ledger::Ledger;
 use pool::Pool;
@@ -60,8 +60,8 @@
 #[derive(Clone)]
 struct Shared {
     clock: Clock,
-    /// Between two watches on discovery.
-    backoff: Backoff,
+    /// How the watch on discovery is kept up.
+    watching: Watching,
     pool: Pool,
     inputs: mpsc::Sender<Input>,
     clients: Rc<RefCell<HashMap<ClientId, mpsc::Sender<clients::Command>>>>,
@@ -149,7 +149,7 @@
     let (inputs, mut arrived) = mpsc::channel(MOST_INPUTS);
     let shared = Shared {
         clock,
-        backoff: state.backoff(),
+        watching: state.watching(),
         pool: Pool::default(),
         inputs,
         clients: Rc::default(),
--- a/crates/mixer/tests/protocol.rs
+++ b/crates/mixer/tests/protocol.rs
@@ -2,10 +2,11 @@
 
 use bytes::{Bytes, BytesMut};
 use cottonhill_mixer::config::Config;
+use cottonhill_mixer::protocol::discovery::{self, Listing};
+use cottonhill_mixer::protocol::http;
 use cottonhill_mixer::protocol::http::{Rejection, Request, Response, ServerCodec, TurnedAway, WatchCodec};
 use cottonhill_mixer::protocol::leaf::{CallPart, End, FromLeaf, LeafCodec, ToLeaf};
 use cottonhill_mixer::protocol::query::{self, Asked, Names, Reply};
-use cottonhill_mixer::protocol::{discovery, http};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::time::Duration;
@@ -95,7 +96,7 @@
         let mut buffer = BytesMut::from(&frame[..]);
         let mut codec = LeafCodec::default();
         while let Ok(Some(_)) = codec.decode(&mut buffer) {}
-        let _ = discovery::line(&noise);
+        let _ = discovery::read(&noise);
     }
 }
 
@@ -217,20 +218,109 @@
     assert_eq!(codec.cut_short(b"\0\0\0\x36A9b1f"), spoilt(None)[0], "the id may go on");
 }
 
+/// A watch's answer: each text in one chunk.
+fn watched(texts: &[&str]) -> Vec<u8> {
+    let chunks: String = texts.iter().map(|text| format!("{:x}\r\n{text}\r\n", text.len())).collect();
+    format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}").into_bytes()
+}
+
+/// The lists in a watch's answer that comes in pieces of these sizes.
+fn lists(answer: &[u8], sizes: &[usize]) -> Vec<Listing> {
+    let objects = feed(&mut WatchCodec::default(), answer, sizes);
+    objects.iter().filter_map(|object| discovery::read(object).unwrap()).collect()
+}
+
+/// A whole list of so many servers, the even ones leaving.
+fn large(servers: usize) -> serde_json::Value {
+    let entry = |i: usize| {
+        serde_json::json!({"name": format!("s-{{\"[{i:08x}\\"), "address": format!("10.1.{}.{}:7070", i / 256, i % 256),
+            "zone": "a", "type": "m2", "group": i, "status": if i.is_multiple_of(2) { "draining" } else { "up" },
+            "weight": 1.0, "since_ms": 1_700_000_000_000u64})
+    };
+    let endpoints: Vec<_> = (0..servers).map(entry).collect();
+    serde_json::json!({"index": 43, "snapshot": true, "endpoints": endpoints})
+}
+
 #[test]
-fn a_watch_is_read_line_by_line_over_chunk_bounds() {
-    let text =
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n14\r\n{\"index\":43,\"snapsho\r\n\
-1a\r\nt\":false,\"endpoints\":[]}\n\n\r\n";
-    for sizes in [[1], [9], [1000]] {
-        let lines = feed(&mut WatchCodec::default(), text, &sizes);
-        let lines: Vec<_> = lines.iter().map(|line| discovery::line(line).unwrap()).collect();
-        assert_eq!(lines.len(), 3);
-        assert_eq!(lines[1].as_ref().map(|l| (l.index, l.snapshot)), Some((43, false)));
+fn lists_are_read_however_they_are_laid_out_and_cut() {
+    let (first, second) = (large(3), serde_json::json!({"index": 44, "snapshot": false, "endpoints": []}));
+    let indented = serde_json::to_string_pretty(&first).unwrap() + "\n";
+    let plain = first.to_string() + "\n";
+    let want: Vec<Listing> =
+        [&first, &second].map(|list| serde_json::from_value(list.clone()).unwrap()).into();
+    for (name, answer) in [
+        ("a line each, with signs of life", watched(&["\n", &plain, "\n\n", &(second.to_string() + "\n")])),
+        ("indented", watched(&["\n", &indented, &serde_json::to_string_pretty(&second).unwrap()])),
+        ("both in one chunk", watched(&[&(indented.clone() + &second.to_string())])),
+        ("one over many chunks", {
+            let cut: Vec<String> = indented.chars().map(String::from).collect();
+            let mut texts: Vec<&str> = cut.iter().map(String::as_str).collect();
+            let second = second.to_string();
+            texts.push(&second);
+            watched(&texts)
+        }),
+    ] {
+        for sizes in [&[1][..], &[9], &[3, 100], &[100_000]] {
+            assert_eq!(lists(&answer, sizes), want, "{name}, in pieces of {sizes:?}");
+        }
+        for cut in 1..answer.len() {
+            assert_eq!(lists(&answer, &[cut, answer.len()]), want, "{name}, cut at {cut}");
+        }
+    }
+    for text in [large(1024).to_string(), serde_json::to_string_pretty(&large(1024)).unwrap()] {
+        let found = lists(&watched(&[&text]), &[16 * 1024]);
+        assert_eq!(found[0].endpoints.len(), 1024, "{} bytes", text.len());
     }
     assert!(WatchCodec::default().decode(&mut BytesMut::from("HTTP/1.1 503 No\r\n\r\n")).is_err());
 }
 
+#[test]
+fn what_spoils_an_object_is_named_and_what_spoils_an_entry_costs_that_entry() {
+    let read = |text: &str| match lists_or_why(text) {
+        Ok(lists) => {
+            format!("{:?}", lists[0].endpoints.iter().map(|e| (&*e.name, e.status)).collect::<Vec<_>>())
+        }
+        Err(why) => why,
+    };
+    let list = |snapshot: bool, entry: &str| {
+        let good = r#"{"name":"s-1","address":"10.1.0.1:7070","group":3,"status":"up"}"#;
+        format!("{{\"index\":43,\"snapshot\":{snapshot},\"endpoints\":[{good},{entry}]}}\n")
+    };
+    for entry in [
+        r#"{"name":"s-2","address":"10.1.0.2:7070","group":70000,"status":"up"}"#,
+        r#"{"name":"s-2","address":"10.1.0.2:7070","group":3,"status":"starting"}"#,
+        r#"{"name":"s-2","group":3,"status":"up"}"#,
+    ] {
+        let want = r#"[("s-1", Up), ("s-2", Draining)]"#;
+        assert_eq!(
+            (read(&list(true, entry)), read(&list(false, entry))),
+            (want.into(), want.into()),
+            "{entry}"
+        );
+    }
+    let nameless = r#"{"address":"10.1.0.2:7070","group":3,"status":"draining"}"#;
+    assert_eq!(read(&list(true, nameless)), r#"[("s-1", Up)]"#, "a whole list is right without it");
+    assert!(read(&list(false, nameless)).contains("entry 1 of version 43 names nobody"));
+    for (text, why) in [
+        ("{\"index\":43,\n\"snapshot\":true]\n", "line 2 column 16"),
+        ("{\"index\":-1,\"snapshot\":true,\"endpoints\":[]}", "column 11"),
+        ("nothing like it", "line 1 column 1"),
+    ] {
+        assert!(read(text).contains(why), "{text}: {}", read(text));
+    }
+    let endless = "{\"index\":43,\"endpoints\":[".to_string() + &"1,".repeat(discovery::MOST_OBJECT / 2);
+    assert!(read(&endless).contains("over 4194304 bytes"));
+}
+
+fn lists_or_why(text: &str) -> Result<Vec<Listing>, String> {
+    let (mut codec, mut bytes, mut lists) =
+        (WatchCodec::default(), BytesMut::from(&watched(&[text])[..]), vec![]);
+    while let Some(object) = codec.decode(&mut bytes).map_err(|e| e.to_string())? {
+        lists.extend(discovery::read(&object)?);
+    }
+    Ok(lists)
+}
+
 #[test]
 fn settings_as_json_mean_the_same_as_on_the_wire() {
     let settings = serde_json::json!({
--- a/crates/mixer/tests/sockets.rs
+++ b/crates/mixer/tests/sockets.rs
@@ -63,24 +63,23 @@
 
 /// Runs `client` against a mixer at its address.
 fn against<F: Future<Output = ()>>(client: impl FnOnce(SocketAddr) -> F) {
-    run(false, client);
+    run(false, bed::SETTINGS, client);
 }
 
 /// The same on a clock that stands still while anyone has something to do, and else goes on to the next
 /// timer.
 fn against_at_once<F: Future<Output = ()>>(client: impl FnOnce(SocketAddr) -> F) {
-    run(true, client);
+    run(true, bed::SETTINGS, client);
 }
 
-fn run<F: Future<Output = ()>>(paused: bool, client: impl FnOnce(SocketAddr) -> F) {
+fn run<F: Future<Output = ()>>(paused: bool, text: &str, client: impl FnOnce(SocketAddr) -> F) {
     let mut runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = runtime.enable_all().start_paused(paused).build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let (discovery_at, leaf_at, mixer_at) = (listener().await, listener().await, listener().await);
         tokio::task::spawn_local(discovery(discovery_at.0, leaf_at.1));
         tokio::task::spawn_local(leaf(leaf_at.0));
-        let (site, decisions) =
-            (settings::site(bed::SETTINGS).unwrap(), settings::parse(bed::SETTINGS).unwrap());
+        let (site, decisions) = (settings::site(text).unwrap(), settings::parse(text).unwrap());
         let names = Names {
             classes: site.classes.clone(),
             deadlines: site.deadlines.clone(),
@@ -245,3 +244,15 @@
         assert!(begun.elapsed().as_millis() < 300, "{:?}", begun.elapsed());
     });
 }
+
+/// The first watch ends without a word. Where the list is pushed it is in force all the same.
+#[test]
+fn one_of_three_hundred_has_its_pushed_list_again_within_the_grace() {
+    let settings = bed::SETTINGS.replace("replicas_of_me=1", "replicas_of_me=300");
+    let settings = settings + "discovery=pushed\nguarantees.stop_sending_within_ns=250000000\n";
+    run(true, &settings, |at| async move {
+        let begun = Instant::now();
+        ready(at, Duration::from_millis(1)).await;
+        assert!(begun.elapsed() < Duration::from_millis(250), "{:?}", begun.elapsed());
+    });
+}
