--- a/crates/cottonhill/tests/reload.rs
+++ b/crates/cottonhill/tests/reload.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, BufReader, Lines};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::net::unix::pipe;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -78,13 +78,16 @@
     (listener, address)
 }
 
-/// The next watch that is asked for there, and the request.
-async fn watch(listener: &TcpListener) -> (TcpStream, String) {
+/// The next request there, which is answered with an empty list of this version.
+async fn asked(listener: &TcpListener, index: u64) -> (TcpStream, String) {
     let (mut stream, _) = tokio::time::timeout(HANGS, listener.accept()).await.expect("a watch").unwrap();
     let mut request = Vec::new();
     while !request.ends_with(b"\r\n\r\n") {
         request.push(stream.read_u8().await.unwrap());
     }
+    let list = json!({"index": index, "snapshot": true, "endpoints": []}).to_string();
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(format!("{head}{:x}\r\n{list}\r\n", list.len()).as_bytes()).await.unwrap();
     (stream, String::from_utf8(request).unwrap())
 }
 
@@ -92,17 +95,21 @@
 async fn a_reload_moves_the_watch_a_bad_file_changes_nothing_and_the_end_still_comes() {
     let (old, new) = (discovery().await, discovery().await);
     let mut program = Program::start("reload", &old.1);
-    let (mut first, _) = watch(&old.0).await;
+    let (mut first, request) = asked(&old.0, 42).await;
+    assert!(request.contains("watch=1&from=41 "), "it goes on from the list it was given: {request}");
     fs::write(&program.config, "{").unwrap();
     program.signal("-HUP", "stays as it was").await;
     fs::write(&program.config, text(&new.1)).unwrap();
     program.signal("-HUP", "read again").await;
-    let (_second, request) = watch(&new.0).await;
-    assert!(request.contains("from=41 "), "it goes on from the list it holds: {request}");
-    assert_eq!(first.read(&mut [0]).await.unwrap(), 0, "the old watch has ended");
+    let (_whole, request) = asked(&new.0, 7).await;
+    assert!(request.starts_with("GET /api/targets HTTP/1.1"), "versions are the new one's own: {request}");
+    let (_second, request) = asked(&new.0, 7).await;
+    assert!(request.contains("watch=1&from=7 "), "it goes on from there: {request}");
+    let mut rest = Vec::new();
+    assert_eq!(first.read_to_end(&mut rest).await.unwrap(), 0, "the old watch has ended");
     fs::write(&program.config, text(&old.1)).unwrap();
     program.signal("-HUP", "read again").await;
-    let _third = watch(&old.0).await;
+    let _third = asked(&old.0, 43).await;
     program.signal("-TERM", "served all").await;
     assert!(program.child.wait().unwrap().success());
 }
--- a/crates/mixer/src/protocol/http.rs
+++ b/crates/mixer/src/protocol/http.rs
@@ -293,10 +293,10 @@
     }
 }
 
-/// A watch to be asked for.
+/// A watch to be asked for, from a version on, or the whole list once.
 pub struct WatchRequest {
     pub host: String,
-    pub from: u64,
+    pub from: Option<u64>,
 }
 
 /// The client's side of one watch: a request out, then objects as they come.
@@ -311,7 +311,8 @@
 
     fn encode(&mut self, watch: WatchRequest, dst: &mut BytesMut) -> io::Result<()> {
         let WatchRequest { host, from } = watch;
-        let text = format!("GET /api/targets?watch=1&from={from} HTTP/1.1\r\nHost: {host}\r\n\r\n");
+        let watch = from.map(|from| format!("?watch=1&from={from}")).unwrap_or_default();
+        let text = format!("GET /api/targets{watch} HTTP/1.1\r\nHost: {host}\r\n\r\n");
         dst.extend_from_slice(text.as_bytes());
         Ok(())
     }
--- a/crates/mixer/src/routing/counters.rs
+++ b/crates/mixer/src/routing/counters.rs
@@ -3,6 +3,15 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 
+/// The counters as they are asked for, with the list in force: its version, and how long ago discovery was heard.
+#[derive(Serialize)]
+pub struct Stats<'a> {
+    #[serde(flatten)]
+    pub counters: &'a Counters,
+    pub list: u64,
+    pub heard_ms_ago: u64,
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Counters {
     pub taken: Taken,
@@ -11,6 +20,7 @@
     pub answered: Answered,
     pub connections: Connections,
     pub lists: u64,
+    pub watches: Watches,
     /// Records of use handed on; 0 where none are kept.
     pub recorded: u64,
     /// Of the records, those of each tenant and class that the settings name: `TENANT CLASS`.
@@ -74,6 +84,23 @@
     /// Closed since something came on them that can't be read.
     pub spoilt: u64,
     pub idle: u64,
+    /// Idle ones closed to make room for one to another leaf server.
+    pub evicted: u64,
+}
+
+/// The watch on discovery.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Watches {
+    pub asked: u64,
+    pub ended: u64,
+    /// Of those ended, the ones that had fallen silent.
+    pub silent: u64,
+    /// Parts withdrawn before their first byte since a list told that their replica leaves or has moved.
+    pub withdrawn: u64,
+    /// Connections closed with a call that the socket had not taken well after its replica was told leaving.
+    pub stuck: u64,
+    /// Starts that went on from the list held before, as discovery was silent.
+    pub unheard: u64,
 }
 
 /// Times the configuration was read again.
--- a/crates/mixer/src/routing/link.rs
+++ b/crates/mixer/src/routing/link.rs
@@ -47,8 +47,9 @@
 pub struct Link {
     phase: Phase,
     waiting: VecDeque<Job>,
-    /// The frame that the socket has and has not yet taken whole.
+    /// The frame that the socket has and has not yet taken whole, and since when.
     writing: Option<Job>,
+    given: Nanos,
     out: BTreeMap<Rc<str>, Out>,
     /// Probes written, in order; answers carry no id, so one that is given up keeps its place as none.
     probes: VecDeque<Option<u64>>,
@@ -69,6 +70,7 @@
             phase: Phase::Connecting,
             waiting: VecDeque::new(),
             writing: None,
+            given: now,
             out: BTreeMap::new(),
             probes: VecDeque::new(),
             over: VecDeque::new(),
@@ -131,7 +133,7 @@
         if self.phase != Phase::Open || self.writing.is_some() {
             return None;
         }
-        self.writing = self.waiting.pop_front();
+        (self.writing, self.given) = (self.waiting.pop_front(), now);
         self.mark(|out| out.given = Some(now));
         self.writing.clone()
     }
@@ -246,6 +248,11 @@
         calls.flatten().map(|(attempt, _)| *attempt).collect()
     }
 
+    /// Since when the socket has a call that it has not taken whole; what was given up meanwhile goes out with it.
+    pub fn call_given(&self) -> Option<Nanos> {
+        matches!(self.writing, Some(Job::Call(_))).then_some(self.given)
+    }
+
     /// The connection is over: all attempts on it, with whether they may have run, and all probes.
     pub fn end(self) -> (Vec<(AttemptId, bool)>, Vec<u64>) {
         let attempts = self.out.values().map(|out| (out.attempt, out.written)).collect();
--- a/crates/mixer/src/routing/messages.rs
+++ b/crates/mixer/src/routing/messages.rs
@@ -13,6 +13,14 @@
 pub type ClientId = u64;
 pub type LinkId = u64;
 
+/// What happens to the watch on discovery, beside the lists that it brings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchNews {
+    Asked,
+    Alive,
+    Ended { silent: bool },
+}
+
 #[derive(Debug)]
 pub enum Input {
     ClientOpened {
@@ -43,6 +51,8 @@
         link: LinkId,
     },
     Listed(Listing),
+    /// The watch on discovery was asked for, showed a sign of life, or ended.
+    Watch(WatchNews),
     Datagram {
         from: u32,
         bytes: Vec<u8>,
@@ -83,10 +93,11 @@
         to: Option<u32>,
         bytes: Vec<u8>,
     },
-    /// Watch the list of leaf servers there, from this version on, and no longer where it was watched.
+    /// Watch the list of leaf servers there, and no longer where it was watched: from this version on, or with the
+    /// whole list first.
     Watch {
         address: SocketAddr,
-        from: u64,
+        from: Option<u64>,
     },
     StopListening,
     /// One query has ended; comes before its reply, which waits for the record.
--- a/crates/mixer/src/routing/replicas.rs
+++ b/crates/mixer/src/routing/replicas.rs
@@ -1,7 +1,7 @@
 //! The leaf servers as discovery has told them, and their numbers for the decision module.
 
 use super::messages::LinkId;
-use crate::interface::{ListKind, Member, ReplicaId, Standing};
+use crate::interface::{ListKind, Member, Nanos, ReplicaId, Standing};
 use crate::protocol::discovery::{Endpoint, Listing, Status};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -11,8 +11,22 @@
     pub address: SocketAddr,
     pub zone: u16,
     pub standing: Standing,
-    /// Its connections, oldest first.
+    /// Its connections, oldest first; those to an address that it has left are not among them.
     pub links: Vec<LinkId>,
+    started: Nanos,
+    /// When it was told gone.
+    gone: Option<Nanos>,
+}
+
+/// What a list changes.
+#[derive(Debug)]
+pub struct Change {
+    pub kind: ListKind,
+    pub members: Vec<Member>,
+    /// The replicas that may get nothing new now.
+    pub leaving: Vec<ReplicaId>,
+    /// Connections to addresses that replicas have left.
+    pub left: Vec<LinkId>,
 }
 
 /// The replicas listed, and those gone that still have connections. Each name has one number while it is
@@ -25,8 +39,13 @@
     zones: Vec<String>,
     /// The version of the last list taken.
     pub index: u64,
+    /// Until then lists may come from a discovery that is behind the one before it.
+    behind_until: Nanos,
 }
 
+/// Whatever discovery has to tell it tells within this time; what it says later is its last word.
+pub const LATE: Nanos = 6_000_000_000;
+
 /// A zone that the settings do not name: nobody's own.
 const NO_ZONE: u16 = u16::MAX;
 
@@ -52,41 +71,52 @@
         self.known.values().any(|r| r.standing == Standing::Ready)
     }
 
-    /// Takes a list over. Returns its lines for the module and the replicas that may get nothing new now.
-    pub fn take(&mut self, listing: &Listing) -> (ListKind, Vec<Member>, Vec<ReplicaId>) {
+    /// Lists come from elsewhere from now on. That one may have yet to hear what was told before: until it must
+    /// have, it brings nothing back that is leaving. Returns when that is.
+    pub fn moved(&mut self, now: Nanos) -> Nanos {
+        self.behind_until = now + LATE;
+        self.behind_until
+    }
+
+    /// Takes a list over.
+    pub fn take(&mut self, now: Nanos, listing: &Listing) -> Change {
         self.index = listing.index;
-        // Those gone for longer than since the last list have nothing left to end.
-        self.known.retain(|_, r| r.standing != Standing::Gone || !r.links.is_empty());
+        // Those gone for long have nothing left to end, and no late list can mean them.
+        self.known.retain(|_, r| r.gone.is_none_or(|gone| now < gone + LATE) || !r.links.is_empty());
         let known = &self.known;
         self.numbers.retain(|_, id| known.contains_key(id));
-        let members: Vec<Member> = listing.endpoints.iter().filter_map(|e| self.member(e)).collect();
-        let mut stopped = Vec::new();
+        let mut left = Vec::new();
+        let members: Vec<Member> =
+            listing.endpoints.iter().filter_map(|e| self.member(now, e, &mut left)).collect();
+        let mut leaving = Vec::new();
         if listing.snapshot {
             let listed: BTreeSet<ReplicaId> = members.iter().map(|m| m.replica).collect();
             for (id, replica) in self.known.iter_mut().filter(|(id, _)| !listed.contains(id)) {
                 replica.standing = Standing::Gone;
-                stopped.push(*id);
+                replica.gone.get_or_insert(now);
+                leaving.push(*id);
             }
         }
-        stopped.extend(members.iter().filter(|m| m.standing != Standing::Ready).map(|m| m.replica));
+        leaving.extend(members.iter().filter(|m| m.standing != Standing::Ready).map(|m| m.replica));
         let kind = if listing.snapshot { ListKind::Full } else { ListKind::Changes };
-        (kind, members, stopped)
+        Change { kind, members, leaving, left }
     }
 
-    fn member(&mut self, endpoint: &Endpoint) -> Option<Member> {
+    fn member(&mut self, now: Nanos, endpoint: &Endpoint, left: &mut Vec<LinkId>) -> Option<Member> {
         let number = self.numbers.get(&endpoint.name).copied();
-        let known = number.and_then(|id| self.known.get(&id)).map(|r| r.address);
+        let held = number.and_then(|id| self.known.get(&id));
+        let known = held.map(|r| r.address);
+        let started = endpoint.since_ms.saturating_mul(1_000_000);
+        let leaving = held.filter(|r| r.standing != Standing::Ready && started <= r.started);
+        let leaving = leaving.filter(|_| now < self.behind_until).map(|r| r.standing);
         let stated = endpoint.address.parse().ok();
-        if stated.is_none() {
-            tracing::warn!(
-                name = endpoint.name,
-                address = endpoint.address,
-                "listed without a usable address"
-            );
+        if stated.is_none() && endpoint.status == Status::Up {
+            let Endpoint { name, address, .. } = endpoint;
+            tracing::warn!(name, address, "listed as up without a usable address");
         }
         let standing = match endpoint.status {
-            // What is up can't be reached without one; it may have left where it was.
-            Status::Up if stated.is_some() => Standing::Ready,
+            // What is up can't be reached without an address; it may have left where it was.
+            Status::Up if stated.is_some() => leaving.unwrap_or(Standing::Ready),
             Status::Up | Status::Draining => Standing::Draining,
             Status::Removed => Standing::Gone,
         };
@@ -99,18 +129,14 @@
         });
         let zone = self.zones.iter().position(|zone| *zone == endpoint.zone);
         let zone = zone.map_or(NO_ZONE, |zone| zone as u16);
-        let replica = self.known.entry(id).or_insert(Replica { address, zone, standing, links: Vec::new() });
+        let new = Replica { address, zone, standing, links: Vec::new(), started, gone: None };
+        let replica = self.known.entry(id).or_insert(new);
         if replica.address != address {
-            // It has moved: its old connections lead elsewhere and only end what is out on them.
-            replica.links.clear();
+            left.append(&mut replica.links);
         }
+        let gone = (standing == Standing::Gone).then(|| replica.gone.unwrap_or(now));
         (replica.address, replica.zone, replica.standing) = (address, zone, standing);
-        Some(Member {
-            replica: id,
-            cell: endpoint.group,
-            zone,
-            started: endpoint.since_ms.saturating_mul(1_000_000),
-            standing,
-        })
+        (replica.started, replica.gone) = (started.max(replica.started), gone);
+        Some(Member { replica: id, cell: endpoint.group, zone, started, standing })
     }
 }
--- a/crates/mixer/src/routing/state/attempts.rs
+++ b/crates/mixer/src/routing/state/attempts.rs
@@ -106,7 +106,7 @@
             if it.is_spent() {
                 self.close_link(now, link);
             } else if let Some(job) = it.take_next(now) {
-                match self.frame(now, job) {
+                match self.frame(now, id, job) {
                     Some(frame) => self.effects.push(Effect::Write { link, frame }),
                     // Nothing was left of it: as if it were written, and on to the next.
                     None => {
@@ -118,8 +118,9 @@
                 }
             } else if it.is_idle() {
                 it.idle_since = now;
-                let standing = self.replicas.get(id).map(|r| r.standing);
-                if standing != Some(Standing::Ready) {
+                // One that leads to where its replica no longer is has no future either.
+                let wanted = self.replicas.get(id).filter(|r| r.standing == Standing::Ready);
+                if !wanted.is_some_and(|r| r.links.contains(&link)) {
                     self.close_link(now, link);
                 } else {
                     let due = now + self.site.idle_time / 10 * IDLE_TENTHS;
@@ -132,7 +133,7 @@
         }
     }
 
-    pub(super) fn frame(&mut self, now: Nanos, job: Job) -> Option<ToLeaf> {
+    pub(super) fn frame(&mut self, now: Nanos, replica: ReplicaId, job: Job) -> Option<ToLeaf> {
         match job {
             Job::Call(call) => {
                 let part = |(id, wire): (AttemptId, Rc<str>)| {
@@ -142,6 +143,14 @@
                 };
                 let parts: Vec<CallPart> = call.into_iter().filter_map(part).collect();
                 self.counters.sent.calls += u64::from(!parts.is_empty());
+                let (index, since_heard_ms) = (self.replicas.index, now.saturating_sub(self.heard) / MS);
+                tracing::debug!(
+                    replica = replica.0,
+                    parts = parts.len(),
+                    index,
+                    since_heard_ms,
+                    "call written"
+                );
                 (!parts.is_empty()).then_some(ToLeaf::Call(parts))
             }
             Job::GiveUp(wire) => {
--- a/crates/mixer/src/routing/state/clients.rs
+++ b/crates/mixer/src/routing/state/clients.rs
@@ -4,6 +4,7 @@
 use crate::interface::{Event, Nanos, RequestId};
 use crate::protocol::http::Rejection;
 use crate::protocol::query::{Asked, Query as AskedQuery, Reply};
+use crate::routing::counters::Stats;
 use crate::routing::messages::{ClientId, Effect};
 use crate::routing::usage::Outcome;
 use std::rc::Rc;
@@ -44,11 +45,13 @@
         match asked {
             Ok(Asked::Query(query)) => self.take_query(now, client, arrived, query),
             Ok(Asked::Ready) => {
-                let ready = self.listed && self.terminated.is_none();
+                let ready = self.listed && !self.unheard && self.terminated.is_none();
                 self.reply(now, client, Reply::Ready(ready));
             }
             Ok(Asked::Stats) => {
-                let text = serde_json::to_vec_pretty(&self.counters).unwrap_or_default();
+                let (list, heard_ms_ago) = (self.replicas.index, now.saturating_sub(self.heard) / MS);
+                let stats = Stats { counters: &self.counters, list, heard_ms_ago };
+                let text = serde_json::to_vec_pretty(&stats).unwrap_or_default();
                 self.reply(now, client, Reply::Stats(text));
             }
             Err(rejection) => {
--- a/crates/mixer/src/routing/state/links.rs
+++ b/crates/mixer/src/routing/state/links.rs
@@ -1,43 +1,112 @@
 //! Leaf servers: the list, the connections and what comes in on them.
 
-use super::{Alarm, State};
+use super::{Alarm, State, MS};
 use crate::interface::*;
 use crate::protocol::discovery::Listing;
 use crate::protocol::leaf::{End, FromLeaf};
-use crate::routing::link::{Answered, Link};
-use crate::routing::messages::{Effect, LinkId};
+use crate::routing::link::{Answered, Link, Phase};
+use crate::routing::messages::{Effect, LinkId, WatchNews};
+use crate::routing::replicas::Change;
 use std::net::SocketAddr;
 
+/// Half of what the protocol adds to each time limit.
+const LEAST_STUCK: Nanos = 25 * MS;
+
 impl State {
     pub(super) fn take_list(&mut self, now: Nanos, listing: &Listing) {
         self.counters.lists += 1;
-        let (index, lines) = (listing.index, listing.endpoints.len());
-        tracing::debug!(index, lines, whole = listing.snapshot, "list taken");
-        let (kind, members, stopped) = self.replicas.take(listing);
+        let Change { kind, members, leaving, left } = self.replicas.take(now, listing);
+        let (index, lines, whole) = (listing.index, listing.endpoints.len(), listing.snapshot);
+        let since_heard_ms = now.saturating_sub(self.heard) / MS;
+        tracing::debug!(index, lines, whole, leaving = leaving.len(), since_heard_ms, "list taken");
+        self.heard = now;
         self.listed |= self.replicas.any_ready();
         self.events.push(Event::List { kind, members });
-        // What waits for a replica that drains or is gone never goes out: the rule counts its first byte.
-        for id in stopped {
-            let links = self.replicas.get(id).map(|r| r.links.clone()).unwrap_or_default();
-            for link in links {
-                let unsent = self.links.get(&link).map(|(_, it)| it.unsent()).unwrap_or_default();
-                for attempt in unsent {
-                    self.end_attempt(now, attempt, Outcome::NotSent);
-                }
-                self.pending.insert(link);
+        // What waits for a replica that drains or is gone never goes out: the rule counts its first byte. Nor does
+        // what waits for an address that was left; others go on at the new one.
+        for id in leaving {
+            tracing::debug!(replica = id.0, index, "replica told leaving");
+            for link in self.replicas.get(id).map(|r| r.links.clone()).unwrap_or_default() {
+                self.withdraw(now, link);
             }
         }
+        for link in left {
+            self.withdraw(now, link);
+        }
+        if self.unheard {
+            self.hear_first(now);
+        }
+    }
+
+    /// Takes back what has not gone to the socket. What has may still wait there for its first byte.
+    fn withdraw(&mut self, now: Nanos, link: LinkId) {
+        let Some((_, it)) = self.links.get(&link) else { return };
+        if let Some(given) = it.call_given() {
+            // Half of the grace is for the socket to say that it took the call; a busy one says so within LEAST_STUCK.
+            let due = now + (self.site.drain_grace / 2).max(LEAST_STUCK);
+            self.alarms.insert((due, Alarm::Stuck(link, given)));
+        }
+        let unsent = it.unsent();
+        self.counters.watches.withdrawn += unsent.len() as u64;
+        for attempt in unsent {
+            self.end_attempt(now, attempt, Outcome::NotSent);
+        }
+        self.pending.insert(link);
+    }
+
+    /// The socket still has the call that it had when its replica was told leaving. Whether any of it has gone out,
+    /// or all of it just now, is not known: it may have run.
+    pub(super) fn stuck(&mut self, now: Nanos, link: LinkId, given: Nanos) {
+        let Some((_, it)) = self.links.get_mut(&link) else { return };
+        if it.call_given() == Some(given) {
+            it.wrote();
+            self.counters.watches.stuck += 1;
+            tracing::info!(link, "a call was not taken by its connection before its replica left: closed");
+            self.close_link(now, link);
+        }
+    }
+
+    pub(super) fn watched(&mut self, now: Nanos, news: WatchNews) {
+        let watches = &mut self.counters.watches;
+        match news {
+            WatchNews::Asked => watches.asked += 1,
+            WatchNews::Alive => self.heard = now,
+            WatchNews::Ended { silent } => {
+                watches.ended += 1;
+                watches.silent += u64::from(silent);
+            }
+        }
+    }
+
+    /// The first list of this life is in, or is not waited for any longer: what came until now is decided. Its time
+    /// has gone on meanwhile.
+    pub(super) fn hear_first(&mut self, now: Nanos) {
+        self.unheard = false;
+        for event in &mut self.events {
+            let Event::Query { id, patience, lag, .. } = event else { continue };
+            let left = self.queries.get(id).map_or(0, |query| query.deadline.saturating_sub(now));
+            *lag += patience.saturating_sub(left);
+            *patience = left;
+        }
     }
 
     /// The list, its version, connections and queries stay; only where the list comes from changes. It is
     /// asked for anew even at the same address: whoever reloads may want just that.
-    pub(super) fn reloaded(&mut self, discovery: Option<SocketAddr>) {
+    pub(super) fn reloaded(&mut self, now: Nanos, discovery: Option<SocketAddr>) {
         let Some(address) = discovery else {
             self.counters.reloads.bad += 1;
             return;
         };
         self.counters.reloads.taken += 1;
-        self.effects.push(Effect::Watch { address, from: self.replicas.index });
+        let mut from = Some(self.replicas.index);
+        if self.watching.moves() {
+            // What that one says of its own versions tells nothing of ours.
+            from = None;
+            let settled = self.replicas.moved(now);
+            self.alarms.retain(|(_, alarm)| !matches!(alarm, Alarm::Settled(_)));
+            self.alarms.insert((settled, Alarm::Settled(address)));
+        }
+        self.effects.push(Effect::Watch { address, from });
     }
 
     pub(super) fn heard(&mut self, now: Nanos, link: LinkId, frame: FromLeaf) {
@@ -127,7 +196,7 @@
     }
 
     pub(super) fn open_link(&mut self, now: Nanos, id: ReplicaId) -> Option<LinkId> {
-        if self.links.len() >= self.most_links {
+        if self.links.len() >= self.most_links && !self.evict(now) {
             return None;
         }
         let link = self.id();
@@ -140,6 +209,17 @@
         Some(link)
     }
 
+    /// Closes the connection that has been idle for longest. There may be more leaf servers than descriptors.
+    fn evict(&mut self, now: Nanos) -> bool {
+        let idle = self.links.iter().filter(|(_, (_, it))| it.phase() == Phase::Open && it.is_idle());
+        let Some(link) = idle.min_by_key(|(_, (_, it))| it.idle_since).map(|(link, _)| *link) else {
+            return false;
+        };
+        self.counters.connections.evicted += 1;
+        self.close_link(now, link);
+        true
+    }
+
     /// A connection with room, the oldest first so that few stay in use; a new one where none has any.
     pub(super) fn link_for(&mut self, now: Nanos, id: ReplicaId, wire: &str) -> Option<LinkId> {
         let replica = self.replicas.get(id)?;
--- a/crates/mixer/src/routing/state/mod.rs
+++ b/crates/mixer/src/routing/state/mod.rs
@@ -18,6 +18,7 @@
 use crate::Coordinator;
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use usage::Recording;
@@ -102,6 +103,12 @@
     Mark,
     GraceOver,
     End,
+    /// Discovery has had its time to say what holds at the start.
+    Unheard,
+    /// What another discovery says is its last word now.
+    Settled(SocketAddr),
+    /// A call that the socket had at this time, when its replica was told leaving.
+    Stuck(LinkId, Nanos),
 }
 
 #[derive(Debug)]
@@ -137,6 +144,10 @@
     most_links: usize,
     most_clients: usize,
     listed: bool,
+    /// The list held is that of an earlier life, and nothing is sent on it yet.
+    unheard: bool,
+    /// When discovery last showed a sign of life.
+    heard: Nanos,
     terminated: Option<Nanos>,
     closing: bool,
     exited: bool,
@@ -182,16 +193,22 @@
             pending: BTreeSet::new(),
             joining: BTreeSet::new(),
             listed: false,
+            unheard: false,
+            heard: now,
             terminated: None,
             closing: false,
             exited: false,
             counters: Counters::default(),
             recording: None,
         };
-        let (_, members, _) = state.replicas.take(known);
+        let members = state.replicas.take(now, known).members;
         state.listed = state.replicas.any_ready();
         state.events.push(Event::List { kind: ListKind::Remembered, members });
         state.turn(now);
+        if let Some(within) = state.watching.first_list() {
+            state.unheard = true;
+            state.alarms.insert((now + within.as_nanos() as Nanos, Alarm::Unheard));
+        }
         state
     }
 
@@ -212,7 +229,7 @@
 
     /// When the next turn is due, whatever comes in until then.
     pub fn next_due(&self) -> Option<Nanos> {
-        if !self.events.is_empty() {
+        if !self.events.is_empty() && !self.unheard {
             return Some(0);
         }
         self.alarms.first().map(|(at, _)| *at)
@@ -259,8 +276,9 @@
                 self.link_ended(now, link);
             }
             Input::Listed(listing) => self.take_list(now, &listing),
+            Input::Watch(news) => self.watched(now, news),
             Input::Datagram { from, bytes } => self.events.push(Event::Message { from, bytes }),
-            Input::Reloaded { discovery } => self.reloaded(discovery),
+            Input::Reloaded { discovery } => self.reloaded(now, discovery),
             Input::Terminate => self.terminate(now),
             Input::Turn => self.turn(now),
         }
--- a/crates/mixer/src/routing/state/turns.rs
+++ b/crates/mixer/src/routing/state/turns.rs
@@ -12,7 +12,7 @@
             self.alarms.remove(&(at, alarm));
             self.ring(now, alarm);
         }
-        if self.events.is_empty() {
+        if self.events.is_empty() || self.unheard {
             return;
         }
         let events = std::mem::take(&mut self.events);
@@ -59,6 +59,17 @@
                 });
             }
             Alarm::Mark => self.mark(now),
+            Alarm::Unheard if self.unheard => {
+                self.counters.watches.unheard += 1;
+                tracing::warn!(
+                    index = self.replicas.index,
+                    "discovery is silent: the list held before is in force"
+                );
+                self.hear_first(now);
+            }
+            Alarm::Unheard => {}
+            Alarm::Settled(address) => self.effects.push(Effect::Watch { address, from: None }),
+            Alarm::Stuck(link, given) => self.stuck(now, link, given),
             Alarm::GraceOver => self.wind_down(),
             Alarm::End => {
                 for id in self.queries.keys().copied().collect::<Vec<_>>() {
--- a/crates/mixer/src/routing/watching.rs
+++ b/crates/mixer/src/routing/watching.rs
@@ -82,6 +82,22 @@
         }
     }
 
+    /// For the first list after a start, before which nothing is sent; none where the list held before is in force
+    /// until discovery could be asked. An agent that has left a whole try unanswered is silent, and what was held
+    /// is the best there is.
+    pub fn first_list(&self) -> Option<Duration> {
+        match self.way {
+            Way::Pushed { .. } => Some(PUSHED_ANSWER),
+            Way::Asked { .. } => None,
+        }
+    }
+
+    /// Whether a new address means another list, with versions of its own: agents hold one each, a service one for
+    /// all.
+    pub fn moves(&self) -> bool {
+        matches!(self.way, Way::Pushed { .. })
+    }
+
     /// Between two signs of life.
     pub fn silent(&self) -> Duration {
         match self.way {
--- a/crates/mixer/src/settings.rs
+++ b/crates/mixer/src/settings.rs
@@ -211,7 +211,7 @@
         connect_timeout: pairs.get("limits.connect_timeout_ns")?.unwrap_or(CONNECT_TIMEOUT),
         idle_time: pairs.get("limits.conn_idle_ns")?.unwrap_or(IDLE_TIME),
         come_back: pairs.time("limits.max_retry_after_ns")?,
-        drain_grace: pairs.time("guarantees.stop_sending_within_ns")?,
+        drain_grace: pairs.get("guarantees.stop_sending_within_ns")?.unwrap_or(DRAIN_GRACE),
         peers: pairs.flag("limits.peers")?,
         may_probe: pairs.flag("limits.may_probe")?,
         report: pairs.list("reporting.fields"),
@@ -223,3 +223,4 @@
 const OPEN_CAP: usize = 4096;
 const CONNECT_TIMEOUT: u64 = 250_000_000;
 const IDLE_TIME: u64 = 30_000_000_000;
+const DRAIN_GRACE: u64 = 250_000_000;
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -33,6 +33,8 @@
 
 /// Inputs that may wait; past it the sockets are read no further until the reducer has caught up.
 const MOST_INPUTS: usize = 1024;
+/// The same for what discovery tells: a list may be large, and the next one can wait at its socket.
+const MOST_LISTS: usize = 2;
 /// Inputs that one turn takes at most, so that timers stay in time under a flood.
 const MOST_BATCH: usize = 256;
 /// Commands that may wait at one connection. The reducer gives each a frame or reply at a time.
@@ -64,6 +66,8 @@
     watching: Watching,
     pool: Pool,
     inputs: mpsc::Sender<Input>,
+    /// What discovery tells, which does not wait behind the rest.
+    lists: mpsc::Sender<Input>,
     clients: Rc<RefCell<HashMap<ClientId, mpsc::Sender<clients::Command>>>>,
     /// Told whenever a client's connection has ended: there may be room for one more.
     client_ended: Rc<Notify>,
@@ -116,7 +120,7 @@
     }
 }
 
-fn watch(shared: &Shared, address: SocketAddr, from: u64) -> AbortHandle {
+fn watch(shared: &Shared, address: SocketAddr, from: Option<u64>) -> AbortHandle {
     tokio::task::spawn_local(watch::follow(shared.clone(), address, from)).abort_handle()
 }
 
@@ -147,11 +151,13 @@
     mut told: mpsc::Receiver<Told>, beside: Beside,
 ) -> io::Result<()> {
     let (inputs, mut arrived) = mpsc::channel(MOST_INPUTS);
+    let (lists, mut listed) = mpsc::channel(MOST_LISTS);
     let shared = Shared {
         clock,
         watching: state.watching(),
         pool: Pool::default(),
         inputs,
+        lists,
         clients: Rc::default(),
         client_ended: Rc::default(),
         names: Rc::new(names),
@@ -164,7 +170,7 @@
     };
     let listener = tokio::task::spawn_local(clients::listen(shared.clone(), listener, state.most_clients()));
     let listener = listener.abort_handle();
-    let watch = watch(&shared, addresses.discovery, state.list_index());
+    let watch = watch(&shared, addresses.discovery, Some(state.list_index()));
     beside.fronts.into_iter().for_each(|start| start(Door::new(shared.clone())));
     let ledger = beside.recorder.map(Ledger::new);
     let mut driver = Driver { shared, links: HashMap::new(), udp, listener, watch, ledger, exited: false };
@@ -181,6 +187,7 @@
                 };
                 driver.put(&mut state, clock.now(), input);
             }
+            Some(input) = listed.recv() => driver.put(&mut state, clock.now(), input),
             () = progress(&mut driver.ledger) => {
                 driver.release();
                 continue;
--- a/crates/mixer/src/transport/watch.rs
+++ b/crates/mixer/src/transport/watch.rs
@@ -1,8 +1,9 @@
 //! The watch on discovery: one long answer, asked for again whenever it ends or falls silent.
 
 use super::Shared;
-use crate::protocol::discovery;
+use crate::protocol::discovery::{self, Listing};
 use crate::protocol::http::{TurnedAway, WatchCodec, WatchRequest};
+use crate::routing::messages::WatchNews;
 use crate::routing::watching::Ended;
 use crate::routing::{Input, Watching};
 use futures_util::{SinkExt, StreamExt};
@@ -10,58 +11,81 @@
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Instant};
+use tokio_util::codec::Framed;
 
-/// How far the list was followed, and whether this watch has brought a sign of life yet.
-struct Followed {
-    index: u64,
+/// One mixer's way with one discovery.
+struct Follower {
+    shared: Shared,
+    watching: Watching,
+    address: SocketAddr,
+    /// How far the list was followed; none where the whole list has to come first.
+    index: Option<u64>,
+    /// This watch has brought a sign of life.
     had: bool,
 }
 
-/// Follows the list from version `index` on, for ever.
-pub async fn follow(shared: Shared, address: SocketAddr, index: u64) {
-    let mut followed = Followed { index, had: false };
-    let mut watching = shared.watching.clone();
+/// Follows the list from version `index` on, or from the whole list, for ever.
+pub async fn follow(shared: Shared, address: SocketAddr, index: Option<u64>) {
+    let watching = shared.watching.clone();
+    let mut follower = Follower { shared, watching, address, index, had: false };
     loop {
-        followed.had = false;
+        follower.had = false;
         let began = Instant::now();
-        let Err(why) = watch(&shared, &watching, address, &mut followed).await;
-        let told = why.get_ref().and_then(|e| e.downcast_ref::<TurnedAway>()).and_then(|e| e.come_back);
+        let Err(why) = follower.watch().await else { continue };
         let silent = why.kind() == ErrorKind::TimedOut;
-        let wait = watching.after(Ended { lasted: began.elapsed(), had: followed.had, silent, told });
-        let wait_ms = wait.as_millis();
-        tracing::info!(%address, index = followed.index, wait_ms, "watch on discovery ended: {why}");
+        follower.tell(Input::Watch(WatchNews::Ended { silent })).await;
+        let told = why.get_ref().and_then(|e| e.downcast_ref::<TurnedAway>()).and_then(|e| e.come_back);
+        let ended = Ended { lasted: began.elapsed(), had: follower.had, silent, told };
+        let wait = follower.watching.after(ended);
+        let (index, wait_ms) = (follower.index, wait.as_millis());
+        tracing::info!(%address, index, wait_ms, "watch on discovery ended: {why}");
         sleep(wait).await;
     }
 }
 
-/// Ends only as a watch does, which is never well.
-async fn watch(
-    shared: &Shared, watching: &Watching, address: SocketAddr, followed: &mut Followed,
-) -> io::Result<std::convert::Infallible> {
-    let connect = timeout(watching.connect(), TcpStream::connect(address));
-    let stream = connect.await.map_err(|_| ErrorKind::TimedOut)??;
-    let mut connection = shared.pool.frame::<WatchRequest, _, _>(stream, WatchCodec::default());
-    let watched = read(shared, watching, address, followed, &mut connection).await;
-    shared.pool.recover(connection);
-    watched
-}
+impl Follower {
+    async fn tell(&self, input: Input) {
+        let _ = self.shared.lists.send(input).await;
+    }
 
-async fn read(
-    shared: &Shared, watching: &Watching, address: SocketAddr, followed: &mut Followed,
-    connection: &mut tokio_util::codec::Framed<TcpStream, WatchCodec>,
-) -> io::Result<std::convert::Infallible> {
-    connection.send(WatchRequest { host: address.to_string(), from: followed.index }).await?;
-    tracing::debug!(%address, index = followed.index, "watch on discovery asked for");
-    loop {
-        let most = if followed.had { watching.silent() } else { watching.answer() };
-        let object = timeout(most, connection.next()).await.map_err(|_| ErrorKind::TimedOut)?;
-        let Some(object) = object else { return Err(ErrorKind::UnexpectedEof.into()) };
-        let listing = discovery::read(&object?).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
-        followed.had = true;
-        if let Some(listing) = listing {
-            let next = listing.index;
-            let _ = shared.inputs.send(Input::Listed(listing)).await;
-            followed.index = next;
+    /// Asks and reads until the watch ends, or the whole list that had to come first is in.
+    async fn watch(&mut self) -> io::Result<()> {
+        let connect = timeout(self.watching.connect(), TcpStream::connect(self.address));
+        let stream = connect.await.map_err(|_| ErrorKind::TimedOut)??;
+        let mut connection = self.shared.pool.frame::<WatchRequest, _, _>(stream, WatchCodec::default());
+        let watched = self.read(&mut connection).await;
+        self.shared.pool.recover(connection);
+        watched
+    }
+
+    async fn read(&mut self, connection: &mut Framed<TcpStream, WatchCodec>) -> io::Result<()> {
+        let (host, from) = (self.address.to_string(), self.index);
+        connection.send(WatchRequest { host, from }).await?;
+        tracing::debug!(address = %self.address, from, "discovery asked");
+        self.tell(Input::Watch(WatchNews::Asked)).await;
+        loop {
+            let most = if self.had { self.watching.silent() } else { self.watching.answer() };
+            let object = timeout(most, connection.next()).await.map_err(|_| ErrorKind::TimedOut)?;
+            let Some(object) = object else { return Err(ErrorKind::UnexpectedEof.into()) };
+            let listing = discovery::read(&object?).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
+            self.had = true;
+            let Some(listing) = listing else {
+                self.tell(Input::Watch(WatchNews::Alive)).await;
+                continue;
+            };
+            let Listing { index, snapshot, .. } = listing;
+            if from.is_some_and(|from| index < from) && !snapshot {
+                // Changes of a count that is behind ours: we may hold what it has never told.
+                self.index = None;
+                let why =
+                    format!("changes up to version {index}, asked for from {}", from.unwrap_or_default());
+                return Err(io::Error::new(ErrorKind::InvalidData, why));
+            }
+            self.tell(Input::Listed(listing)).await;
+            self.index = Some(index);
+            if from.is_none() {
+                return Ok(());
+            }
         }
     }
 }
--- a/crates/mixer/tests/bed/mod.rs
+++ b/crates/mixer/tests/bed/mod.rs
@@ -22,7 +22,8 @@
 extra.partial_earns=0.9,0.9\nextra.second_step=0,0\nreplicas_of_me=1\ntick_ns=5000000\n\
 limits.cancelling=true\nlimits.may_duplicate=true\nlimits.max_attempts=4\nlimits.streams_per_conn=4\n\
 limits.connect_timeout_ns=250000000\nlimits.conn_idle_ns=30000000000\nlimits.open_cap=60\n\
-limits.max_retry_after_ns=500000000\nlocalities=north,south\n";
+limits.max_retry_after_ns=500000000\nlocalities=north,south\nguarantees.stop_sending_within_ns=250000000\n";
+pub const GRACE: u64 = 250 * MS;
 
 pub struct Bed {
     pub state: State,
@@ -37,11 +38,14 @@
     pub closed: Vec<ClientId>,
     pub listening: bool,
     pub exited: bool,
-    /// No socket takes the last byte of a frame.
+    /// No socket takes a frame before it is told to (`begin`).
     pub stuck: bool,
+    /// Where the watches that were asked for go on from.
+    pub watches: Vec<Option<u64>>,
     pub records: Vec<Usage>,
     pub marks: Vec<Mark>,
-    told: BTreeMap<String, String>,
+    /// What is known of an address, since when.
+    told: BTreeMap<String, (String, u64)>,
     writing: BTreeSet<LinkId>,
     clients: u64,
     index: u64,
@@ -67,10 +71,17 @@
     }
 
     pub fn with(text: &str, replicas: u64) -> Bed {
+        let mut bed = Bed::unheard(text, replicas, 1024);
+        bed.put(Input::Listed(listing(1, false, &[])));
+        bed
+    }
+
+    /// One that holds a list from before its start, and so many descriptors, and has not heard from discovery.
+    pub fn unheard(text: &str, replicas: u64, descriptors: usize) -> Bed {
         let (site, decisions) = (settings::site(text).unwrap(), settings::parse(text).unwrap());
         let lines: Vec<_> = (1..=replicas).map(|r| (r, "up", 0)).collect();
         Bed {
-            state: State::new(START, site, decisions, 7, &listing(1, true, &lines), 1024),
+            state: State::new(START, site, decisions, 7, &listing(1, true, &lines), descriptors),
             now: START,
             replies: BTreeMap::new(),
             left: BTreeSet::new(),
@@ -81,9 +92,10 @@
             listening: true,
             exited: false,
             stuck: false,
+            watches: Vec::new(),
             records: Vec::new(),
             marks: Vec::new(),
-            told: (1..=replicas).map(|r| (address(r), "up".to_string())).collect(),
+            told: (1..=replicas).map(|r| (address(r), ("up".to_string(), START))).collect(),
             writing: BTreeSet::new(),
             clients: 0,
             index: 1,
@@ -112,7 +124,7 @@
                 self.put(Input::ClientClosed { client });
             }
             Effect::Connect { link, address } => {
-                assert_eq!(self.told[&address.to_string()], "up", "no new connection where nothing may go");
+                assert_eq!(self.told[&address.to_string()].0, "up", "no new connection where nothing may go");
                 self.links.insert(link, (address.to_string(), false));
             }
             Effect::Write { link, frame } => {
@@ -122,7 +134,7 @@
                 let out = self.out.entry(link).or_default();
                 match &frame {
                     ToLeaf::Call(parts) => {
-                        assert_eq!(self.told[address], "up", "nothing new goes to what drains or is gone");
+                        assert_eq!(self.told[address].0, "up", "nothing new goes to what drains or is gone");
                         for part in parts {
                             assert!(!out.contains(&part.id.to_string()), "{} is out there", part.id);
                             out.push(part.id.to_string());
@@ -134,20 +146,35 @@
                 }
                 self.frames.push((link, frame));
                 if !self.stuck {
-                    self.writing.remove(&link);
-                    self.put(Input::LinkWrote { link });
+                    self.begin(link);
                 }
             }
             Effect::CloseLink { link } => {
                 self.links.remove(&link);
                 self.out.remove(&link);
             }
-            Effect::Datagram { .. } | Effect::Watch { .. } => {}
+            Effect::Watch { from, .. } => self.watches.push(from),
+            Effect::Datagram { .. } => {}
             Effect::StopListening => self.listening = false,
             Effect::Exit(_) => self.exited = true,
         }
     }
 
+    /// A socket takes the frame that it was given, from its first byte to its last.
+    pub fn begin(&mut self, link: LinkId) {
+        let Some((address, _)) = self.links.get(&link).filter(|_| self.writing.remove(&link)) else { return };
+        let (status, since) = &self.told[address];
+        let call =
+            self.frames.iter().rfind(|(l, _)| *l == link).is_some_and(|(_, f)| matches!(f, ToLeaf::Call(_)));
+        let late = status != "up" && self.now > since + GRACE;
+        assert!(
+            !call || !late,
+            "a first byte {} ms after {address} was told {status}",
+            (self.now - since) / MS
+        );
+        self.put(Input::LinkWrote { link });
+    }
+
     /// Time passes, with a turn whenever one is due.
     pub fn pass(&mut self, ms: u64) {
         let end = self.now + ms * MS;
@@ -173,6 +200,15 @@
     pub fn ask_on(&mut self, client: ClientId, class: u16, weights: &[f64], timeout_ms: u64) {
         let part =
             |(shard, weight): (usize, &f64)| AskedPart { shard: shard as u32, weight: *weight, work: None };
+        self.ask_parts(client, class, weights.iter().enumerate().map(part).collect(), timeout_ms);
+    }
+
+    /// A query of one shard alone.
+    pub fn ask_part(&mut self, client: ClientId, class: u16, shard: u32) {
+        self.ask_parts(client, class, vec![AskedPart { shard, weight: 1.0, work: None }], 5000);
+    }
+
+    fn ask_parts(&mut self, client: ClientId, class: u16, parts: Vec<AskedPart>, timeout_ms: u64) {
         let query = Query {
             name: format!("q{client}"),
             class,
@@ -180,7 +216,7 @@
             timeout: timeout_ms * MS,
             repeat: false,
             idempotency_key: None,
-            parts: weights.iter().enumerate().map(part).collect(),
+            parts,
             text: Bytes::from_static(b"c41e77d0"),
         };
         self.replies.entry(client).or_default();
@@ -236,13 +272,35 @@
 
     /// Notes what a list says of an address, for the checks on what is written there.
     pub fn told(&mut self, address: &str, status: &str) {
-        self.told.insert(address.to_string(), status.to_string());
+        match self.told.get_mut(address).filter(|(held, _)| *held != "up" && status != "up") {
+            Some((held, _)) => *held = status.to_string(),
+            None => drop(self.told.insert(address.to_string(), (status.to_string(), self.now))),
+        }
     }
 
     pub fn list(&mut self, replica: u64, status: &str, since: u64) {
-        self.index += 1;
         self.told(&address(replica), status);
-        self.put(Input::Listed(listing(self.index, false, &[(replica, status, since)])));
+        self.listed(false, &[(replica, status, since)]);
+    }
+
+    /// A list comes in, whatever is known of its addresses.
+    pub fn listed(&mut self, snapshot: bool, lines: &[(u64, &str, u64)]) {
+        self.index += 1;
+        self.put(Input::Listed(listing(self.index, snapshot, lines)));
+    }
+
+    /// A replica is listed as up where another one's address would be.
+    pub fn move_to(&mut self, replica: u64, place: u64) {
+        let old = self.told.keys().filter(|at| *at == &address(replica) || **at == address(replica + 1000));
+        for old in old.cloned().collect::<Vec<_>>() {
+            self.told(&old, "left");
+        }
+        self.told(&address(place), "up");
+        self.index += 1;
+        let line = serde_json::json!({"name": format!("s-{replica}"), "address": address(place), "zone": "north",
+            "group": 0, "status": "up", "since_ms": 0});
+        let list = serde_json::json!({"index": self.index, "snapshot": false, "endpoints": [line]});
+        self.put(Input::Listed(serde_json::from_value(list).expect("a list")));
     }
 
     /// Some client leaves.
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -12,6 +12,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -26,6 +27,11 @@
 struct List {
     /// Each change, in its order; its place counts from 1.
     changes: Vec<Value>,
+    /// Connections with numbers below this have fallen silent for good.
+    silent_below: u64,
+    /// Nothing is said to anyone for now.
+    down: bool,
+    indented: bool,
 }
 
 impl List {
@@ -40,8 +46,20 @@
         json!({"index": self.changes.len(), "snapshot": true, "endpoints": last})
     }
 
-    fn since(&self, index: usize) -> Value {
-        json!({"index": self.changes.len(), "snapshot": false, "endpoints": self.changes[index..]})
+    /// What one who holds this version has yet to hear, all of it where that version is none of ours, and the version
+    /// that it holds then.
+    fn news(&self, held: Option<usize>) -> (Bytes, Option<usize>) {
+        let index = self.changes.len();
+        let list = match held.and_then(|held| self.changes.get(held..)) {
+            Some(changes) => json!({"index": index, "snapshot": false, "endpoints": changes}),
+            None => self.snapshot(),
+        };
+        (self.write(&list), Some(index))
+    }
+
+    fn write(&self, list: &Value) -> Bytes {
+        let text = if self.indented { format!("{list:#}\n") } else { format!("{list}\n") };
+        Bytes::from(text)
     }
 }
 
@@ -49,7 +67,11 @@
 pub struct Discovery {
     pub address: SocketAddr,
     list: Arc<Mutex<List>>,
-    changed: watch::Sender<usize>,
+    /// Told of each change of the list or of how discovery fares.
+    changed: watch::Sender<()>,
+    /// Told when all connections are to be reset.
+    reset: watch::Sender<()>,
+    accepted: Arc<AtomicU64>,
     task: AbortHandle,
 }
 
@@ -65,17 +87,48 @@
     pub async fn start(ip: IpAddr) -> io::Result<Discovery> {
         let listener = TcpListener::bind((ip, 0)).await?;
         let address = listener.local_addr()?;
-        let list = Arc::<Mutex<List>>::default();
-        let (changed, watch) = watch::channel(0);
-        let task = tokio::spawn(serve(listener, list.clone(), watch)).abort_handle();
-        Ok(Discovery { address, list, changed, task })
+        let (list, accepted) = (Arc::<Mutex<List>>::default(), Arc::<AtomicU64>::default());
+        let (changed, _) = watch::channel(());
+        let (reset, resets) = watch::channel(());
+        let serving = Serving { list: list.clone(), changed: changed.clone(), accepted: accepted.clone() };
+        let task = tokio::spawn(serving.serve(listener, resets)).abort_handle();
+        Ok(Discovery { address, list, changed, reset, accepted, task })
+    }
+
+    fn change(&self, change: impl FnOnce(&mut List)) {
+        change(&mut self.list.lock().unwrap_or_else(PoisonError::into_inner));
+        self.changed.send_replace(());
     }
 
     /// Tells of lines that have changed, all at once.
     pub fn tell(&self, lines: Vec<Value>) {
-        let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
-        list.changes.extend(lines);
-        self.changed.send_replace(list.changes.len());
+        self.change(|list| list.changes.extend(lines));
+    }
+
+    /// All connections are reset.
+    pub fn reset(&self) {
+        self.reset.send_replace(());
+    }
+
+    /// All open watches fall silent: their connections stay open, and nothing ever comes on them again.
+    pub fn fall_silent(&self) {
+        let accepted = self.accepted.load(Ordering::SeqCst);
+        self.change(|list| list.silent_below = accepted);
+    }
+
+    /// While down it says nothing, and what it is told counts for nobody; on its return whoever waits is answered.
+    pub fn set_down(&self, down: bool) {
+        self.change(|list| list.down = down);
+    }
+
+    /// Whether lists come on many lines each.
+    pub fn set_indented(&self, indented: bool) {
+        self.change(|list| list.indented = indented);
+    }
+
+    /// Connections that it has accepted.
+    pub fn accepted(&self) -> u64 {
+        self.accepted.load(Ordering::SeqCst)
     }
 
     /// The list as a mixer is given it at its start.
@@ -84,53 +137,89 @@
     }
 }
 
-async fn serve(listener: TcpListener, list: Arc<Mutex<List>>, changed: watch::Receiver<usize>) {
-    let mut connections = JoinSet::new();
-    loop {
-        let Ok((stream, _)) = listener.accept().await else { return };
-        let (list, changed) = (list.clone(), changed.clone());
-        connections.spawn(async move {
-            let answer = service_fn(move |request: Request<Incoming>| {
-                let body = body(&request, list.clone(), changed.clone());
-                async move { Ok::<_, Infallible>(Response::new(body)) }
+#[derive(Clone)]
+struct Serving {
+    list: Arc<Mutex<List>>,
+    changed: watch::Sender<()>,
+    accepted: Arc<AtomicU64>,
+}
+
+impl Serving {
+    async fn serve(self, listener: TcpListener, mut resets: watch::Receiver<()>) {
+        let mut connections = JoinSet::new();
+        loop {
+            let stream = tokio::select! {
+                _ = resets.changed() => {
+                    connections.abort_all();
+                    continue;
+                }
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => stream,
+                    Err(_) => return,
+                },
+            };
+            let number = self.accepted.fetch_add(1, Ordering::SeqCst);
+            let serving = self.clone();
+            connections.spawn(async move {
+                let answer = service_fn(move |request: Request<Incoming>| {
+                    let serving = serving.clone();
+                    async move { Ok::<_, Infallible>(Response::new(serving.body(&request, number).await)) }
+                });
+                let io = TokioIo::new(stream);
+                let _ = hyper::server::conn::http1::Builder::new().serve_connection(io, answer).await;
             });
-            let serve =
-                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), answer);
-            let _ = serve.await;
-        });
-        while connections.try_join_next().is_some() {}
+            while connections.try_join_next().is_some() {}
+        }
     }
-}
 
-fn body(
-    request: &Request<Incoming>, list: Arc<Mutex<List>>, changed: watch::Receiver<usize>,
-) -> UnsyncBoxBody<Bytes, Infallible> {
-    let query = request.uri().query().unwrap_or_default();
-    let lock = |list: &Arc<Mutex<List>>| list.lock().unwrap_or_else(PoisonError::into_inner).snapshot();
-    if !query.contains("watch=1") {
-        return Full::new(Bytes::from(lock(&list).to_string())).boxed_unsync();
-    }
-    let from = query.split('&').find_map(|pair| pair.strip_prefix("from=")?.parse::<usize>().ok());
-    let lines = stream::unfold((from, list, changed), |(from, list, mut changed)| async move {
-        let (line, next) = loop {
+    /// Waits until this connection may say something, and lets it read the list.
+    async fn say<T>(&self, number: u64, what: impl Fn(&List) -> T) -> T {
+        let mut changed = self.changed.subscribe();
+        loop {
             {
-                let list = list.lock().unwrap_or_else(PoisonError::into_inner);
-                let now = list.changes.len();
-                match from {
-                    Some(from) if from == now => {}
-                    Some(from) if from < now => break (list.since(from).to_string(), now),
-                    _ => break (list.snapshot().to_string(), now),
+                let list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+                if !list.down && number >= list.silent_below {
+                    return what(&list);
                 }
-                changed.mark_unchanged();
             }
-            match timeout(ALIVE, changed.changed()).await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => return None,
-                Err(_) => break (String::new(), from.unwrap_or_default()),
+            let _ = changed.changed().await;
+        }
+    }
+
+    async fn body(&self, request: &Request<Incoming>, number: u64) -> UnsyncBoxBody<Bytes, Infallible> {
+        let query = request.uri().query().unwrap_or_default();
+        let from = query.split('&').find_map(|pair| pair.strip_prefix("from=")?.parse::<usize>().ok());
+        if !query.contains("watch=1") {
+            let whole = self.say(number, |list| list.write(&list.snapshot())).await;
+            return Full::new(whole).boxed_unsync();
+        }
+        let objects = stream::unfold((self.clone(), from, true), move |(serving, held, first)| async move {
+            // The first object comes in any case; it may hold nothing new.
+            let first = serving.say(number, |list| first.then(|| list.news(held)));
+            let (object, held) = match first.await {
+                Some(told) => told,
+                None => serving.news(number, held).await,
+            };
+            Some((Ok::<_, Infallible>(Frame::data(object)), (serving, held, false)))
+        });
+        BodyExt::boxed_unsync(StreamBody::new(Box::pin(objects)))
+    }
+
+    /// The next change, or a sign of life where there is none for long.
+    async fn news(&self, number: u64, held: Option<usize>) -> (Bytes, Option<usize>) {
+        let mut changed = self.changed.subscribe();
+        let news = async {
+            loop {
+                let told = self.say(number, |list| Some(list.news(held)).filter(|told| told.1 != held)).await;
+                if let Some(told) = told {
+                    return told;
+                }
+                let _ = changed.changed().await;
             }
         };
-        let frame = Frame::data(Bytes::from(line + "\n"));
-        Some((Ok::<_, Infallible>(frame), (Some(next), list, changed)))
-    });
-    BodyExt::boxed_unsync(StreamBody::new(Box::pin(lines)))
+        match timeout(ALIVE, news).await {
+            Ok(told) => told,
+            Err(_) => (self.say(number, |_| Bytes::from_static(b"\n")).await, held),
+        }
+    }
 }
