Test real processes against leaf servers that leave while discovery fares badly

crates/standins/tests/leaving.rs: three mixers told that 350 run, twelve leaf servers and discovery as processes and tasks on loopback, six clients. A zone's servers begin to drain after all watches were reset, after all fell silent, at the return of a discovery that was down for 5 s, behind a list of 1,024 entries over many lines, under new processes that hold an old list, and after a move by SIGHUP to a discovery with other versions. From the grace (and 1.5 s for a busy machine) after each counts as told no part may come to those that leave, others must be asked meanwhile, and every try gets its one final answer.

The settings of the installation name a pushed discovery and the drain grace, as the platform does.

--- a/crates/standins/src/bin/cottonhill-bench-ledger.rs
+++ b/crates/standins/src/bin/cottonhill-bench-ledger.rs
@@ -97,6 +97,7 @@
 async fn serving(line: &Line) -> io::Result<()> {
     let plan = |usage| Plan {
         seed: 1,
+        fleet: 3,
         work: Duration::from_millis(4),
         slots: 64,
         usage,
--- a/crates/standins/src/bin/cottonhill-demo.rs
+++ b/crates/standins/src/bin/cottonhill-demo.rs
@@ -89,6 +89,7 @@
     let folder = tempfile::tempdir()?;
     let plan = Plan {
         seed: line.seed,
+        fleet: 3,
         work: Duration::from_millis(8),
         slots: 16,
         usage: true,
--- a/crates/standins/src/bin/cottonhill-prove-ledger.rs
+++ b/crates/standins/src/bin/cottonhill-prove-ledger.rs
@@ -284,6 +284,7 @@
     }
     let plan = Plan {
         seed: line.seed,
+        fleet: 3,
         work: Duration::from_millis(9),
         slots: 3,
         usage: true,
--- a/crates/standins/src/bin/cottonhill-prove-opensearch.rs
+++ b/crates/standins/src/bin/cottonhill-prove-opensearch.rs
@@ -445,6 +445,7 @@
     let folder = tempfile::tempdir()?;
     let plan = Plan {
         seed: line.seed,
+        fleet: 3,
         work: Duration::from_millis(4),
         slots: 64,
         usage: false,
--- a/crates/standins/src/installation.rs
+++ b/crates/standins/src/installation.rs
@@ -1,7 +1,7 @@
 //! A whole installation on loopback: discovery, leaf servers in three zones, real mixers, and their settlement.
 
 use crate::discovery::Discovery;
-use crate::leaf::Leaf;
+use crate::leaf::{Leaf, Seen};
 use crate::process::{beside, Process};
 use serde_json::{json, Value};
 use std::fmt::Write as _;
@@ -10,6 +10,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 pub const ZONES: [&str; 3] = ["colombo-north", "colombo-south", "kandy"];
@@ -21,6 +22,8 @@
 ];
 pub const TENANTS: [&str; 4] = ["alpha", "beta", "gamma", "delta"];
 pub const SHARDS: u32 = 16;
+/// Nothing goes to a leaf server later than this after a mixer was told that it leaves.
+pub const GRACE: Duration = Duration::from_millis(250);
 const CELLS: usize = 4;
 const MS: u64 = 1_000_000;
 
@@ -28,6 +31,8 @@
 #[derive(Clone, Debug)]
 pub struct Plan {
     pub seed: u64,
+    /// How many mixers the settings tell of; three run.
+    pub fleet: u32,
     /// The middle of a part's time at a leaf server.
     pub work: Duration,
     /// Parts that a leaf server works on at once.
@@ -45,6 +50,16 @@
     cell: usize,
     leaf: Option<Leaf>,
     starts: u64,
+    /// Its last start, in Unix milliseconds.
+    since: u64,
+}
+
+impl Slot {
+    /// What discovery says of its server of that start; `i` is the slot's own number.
+    fn line(&self, i: usize, start: u64, status: &str, address: SocketAddr) -> Value {
+        json!({"name": format!("s-{i}-{start}"), "address": address, "zone": ZONES[self.zone], "type": "m",
+            "group": self.cell, "status": status, "weight": 1.0, "since_ms": self.since})
+    }
 }
 
 pub struct Mixer {
@@ -59,11 +74,19 @@
     pub process: Option<Process>,
 }
 
+impl Mixer {
+    fn reconfigure(&self, key: &str, value: Value) -> io::Result<()> {
+        let mut config: Value = serde_json::from_str(&fs::read_to_string(&self.config)?)?;
+        config[key] = value;
+        fs::write(&self.config, format!("{config:#}"))
+    }
+}
+
 pub struct Installation {
     pub folder: PathBuf,
     pub ip: IpAddr,
     plan: Plan,
-    discovery: Discovery,
+    pub discovery: Discovery,
     slots: Vec<Slot>,
     pub mixers: Vec<Mixer>,
     pub settings: PathBuf,
@@ -91,7 +114,7 @@
 }
 
 fn platform(
-    name: &str, zone: usize, listen: SocketAddr, discovery: SocketAddr, seed: u64, known: &Value,
+    name: &str, zone: usize, listen: SocketAddr, discovery: SocketAddr, seed: u64, fleet: u32, known: &Value,
 ) -> Value {
     let class = |(name, aim, give_up, _): &(&str, u64, u64, f64)| {
         json!({"name": name, "aim_ns": aim * MS, "give_up_ns": give_up * MS, "semantics": "read_like",
@@ -103,7 +126,7 @@
         "settings": {
             "classes": CLASSES.iter().map(class).collect::<Vec<_>>(),
             "orgs": TENANTS.map(|name| json!({"name": name})),
-            "localities": ZONES, "my_zone": zone, "replicas_of_me": 3, "tick_ns": 5 * MS,
+            "localities": ZONES, "my_zone": zone, "replicas_of_me": fleet, "tick_ns": 5 * MS,
             "callers": {"marks_retry": true},
             "tariffs": {"cross_zone": 0.05},
             "extra": {"places": CELLS, "reach": 2, "ranges": SHARDS, "bundle_max": 8,
@@ -112,7 +135,8 @@
             "limits": {"cancelling": true, "may_duplicate": true, "max_attempts": 4, "streams_per_conn": 32,
                 "connect_timeout_ns": 250 * MS, "conn_idle_ns": 30_000 * MS, "open_cap": 4096,
                 "max_retry_after_ns": 300 * MS},
-            "guarantees": {"cold_from": 0.5, "cold_ns": 1000 * MS, "fall_multiple": 6.0, "fall_ns": 2000 * MS},
+            "discovery": "pushed",
+            "guarantees": {"stop_sending_within_ns": GRACE.as_nanos() as u64, "cold_from": 0.5, "cold_ns": 1000 * MS, "fall_multiple": 6.0, "fall_ns": 2000 * MS},
         }
     })
 }
@@ -127,7 +151,7 @@
         let discovery = Discovery::start(ip).await?;
         let mut slots = Vec::new();
         for zone in 0..ZONES.len() {
-            slots.extend((0..CELLS).map(|cell| Slot { zone, cell, leaf: None, starts: 0 }));
+            slots.extend((0..CELLS).map(|cell| Slot { zone, cell, leaf: None, starts: 0, since: 0 }));
         }
         let mut installation = Installation {
             folder: folder.into(),
@@ -151,7 +175,10 @@
             let (config, settings, usage) = (file("json"), file("ini"), file("usage"));
             let seed = installation.plan.seed ^ (zone as u64 + 1);
             let (at, known) = (installation.discovery.address, installation.discovery.known());
-            fs::write(&config, format!("{:#}", platform(&name, zone, address, at, seed, &known)))?;
+            fs::write(
+                &config,
+                format!("{:#}", platform(&name, zone, address, at, seed, installation.plan.fleet, &known)),
+            )?;
             let shown = usage.display();
             let mut own = if installation.plan.usage {
                 format!("[usage]\ndirectory = {shown}\nmark = 100ms\nsegment = 64KiB\nlisten = {collect}\n")
@@ -238,9 +265,7 @@
         let moved = Discovery::start(self.ip).await?;
         moved.tell(self.discovery.known()["endpoints"].as_array().cloned().unwrap_or_default());
         for mixer in &self.mixers {
-            let mut config: Value = serde_json::from_str(&fs::read_to_string(&mixer.config)?)?;
-            config["discovery"] = json!(moved.address);
-            fs::write(&mixer.config, format!("{config:#}"))?;
+            mixer.reconfigure("discovery", json!(moved.address))?;
             if let Some(process) = &mixer.process {
                 process.signal("-HUP")?;
             }
@@ -251,9 +276,13 @@
         Ok(())
     }
 
-    /// The address that discovery answers at now.
-    pub fn discovery(&self) -> SocketAddr {
-        self.discovery.address
+    /// Each mixer's next start is from the list as it is now, like that of one killed at this moment.
+    ///
+    /// # Errors
+    /// A configuration can't be rewritten.
+    pub fn remember(&self) -> io::Result<()> {
+        let known = self.discovery.known();
+        self.mixers.iter().try_for_each(|mixer| mixer.reconfigure("known", known.clone()))
     }
 
     /// A zone is dark: its leaf servers are gone without a word from discovery.
@@ -261,13 +290,24 @@
         self.slots.iter_mut().filter(|slot| slot.zone == zone).for_each(|slot| slot.leaf = None);
     }
 
+    /// A zone's leaf servers begin to drain, as discovery tells; they stay up. Returns what each of them sees.
+    pub fn drain_zone(&self, zone: usize) -> Vec<Arc<Seen>> {
+        let of_zone = self.slots.iter().enumerate().filter(|(_, slot)| slot.zone == zone);
+        let leaving: Vec<_> = of_zone.filter_map(|(i, slot)| Some((i, slot, slot.leaf.as_ref()?))).collect();
+        let line =
+            |(i, slot, leaf): &(usize, &Slot, &Leaf)| slot.line(*i, slot.starts, "draining", leaf.address);
+        self.discovery.tell(leaving.iter().map(line).collect());
+        leaving.iter().map(|(_, _, leaf)| leaf.seen.clone()).collect()
+    }
+
     /// A zone's leaf servers start, at other addresses than before, and discovery tells.
     ///
     /// # Errors
     /// There are no ports.
     pub async fn restore_zone(&mut self, zone: usize, cold: bool) -> io::Result<()> {
         let mut lines = Vec::new();
-        for (i, slot) in self.slots.iter_mut().enumerate().filter(|(_, slot)| slot.zone == zone) {
+        let of_zone = |(_, slot): &(usize, &mut Slot)| slot.zone == zone;
+        for (i, slot) in self.slots.iter_mut().enumerate().filter(of_zone) {
             slot.starts += 1;
             let leaf = Leaf::start(
                 self.ip,
@@ -276,15 +316,11 @@
                 self.plan.seed ^ (i as u64) << 32 ^ slot.starts,
             )
             .await?;
-            let since = if cold { now_ms() } else { 0 };
-            let line = |starts: u64, status: &str, address: SocketAddr| {
-                json!({"name": format!("s-{i}-{starts}"), "address": address, "zone": ZONES[zone], "type": "m",
-                    "group": slot.cell, "status": status, "weight": 1.0, "since_ms": since})
-            };
             if slot.starts > 1 {
-                lines.push(line(slot.starts - 1, "removed", leaf.address));
+                lines.push(slot.line(i, slot.starts - 1, "removed", leaf.address));
             }
-            lines.push(line(slot.starts, "up", leaf.address));
+            slot.since = if cold { now_ms() } else { 0 };
+            lines.push(slot.line(i, slot.starts, "up", leaf.address));
             slot.leaf = Some(leaf);
         }
         self.discovery.tell(lines);
