Ask for the whole list after changes of no use; spread an asked discovery past 320 mixers

Changes that can't be read, name nobody or are of a version behind the one asked for were asked for again from the same version, so they came again for as long as the agent held them (a loop paced by the wait, and no list taken). The whole list comes first then; the held one stays in force. Tested on the program with three such objects.

Backoff's first wait was cut at 16 s, so from 320 mixers on an asked service saw more than the 20 calls a second that the rule allows for: with 1,024 mixers 64 a second. It is cut only by what the settings let a mixer go without asking. An agent that fails again and again is named in the log once, then at debug level, as tries at a pushed one come 20 a second.

--- a/crates/cottonhill/tests/reload.rs
+++ b/crates/cottonhill/tests/reload.rs
@@ -80,12 +80,16 @@
 
 /// The next request there, which is answered with an empty list of this version.
 async fn asked(listener: &TcpListener, index: u64) -> (TcpStream, String) {
+    asked_for(listener, &json!({"index": index, "snapshot": true, "endpoints": []}).to_string()).await
+}
+
+/// The next request there, which is answered with this object.
+async fn asked_for(listener: &TcpListener, list: &str) -> (TcpStream, String) {
     let (mut stream, _) = tokio::time::timeout(HANGS, listener.accept()).await.expect("a watch").unwrap();
     let mut request = Vec::new();
     while !request.ends_with(b"\r\n\r\n") {
         request.push(stream.read_u8().await.unwrap());
     }
-    let list = json!({"index": index, "snapshot": true, "endpoints": []}).to_string();
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     stream.write_all(format!("{head}{:x}\r\n{list}\r\n", list.len()).as_bytes()).await.unwrap();
     (stream, String::from_utf8(request).unwrap())
@@ -113,3 +117,25 @@
     program.signal("-TERM", "served all").await;
     assert!(program.child.wait().unwrap().success());
 }
+
+#[tokio::test]
+async fn changes_that_are_of_no_use_are_named_and_the_whole_list_is_asked_for() {
+    for (n, (changes, words)) in [
+        (
+            r#"{"index":43,"snapshot":false,"endpoints":[{"status":"draining"}]}"#,
+            "entry 0 of version 43 names nobody",
+        ),
+        (r#"{"index":43,"snapshot":[]}"#, "invalid type: sequence, expected a boolean at line 1"),
+        (r#"{"index":7,"snapshot":false,"endpoints":[]}"#, "changes up to version 7, asked for from 41"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let (listener, at) = discovery().await;
+        let mut program = Program::start(&format!("astray-{n}"), &at);
+        let _first = asked_for(&listener, changes).await;
+        program.says(words).await;
+        let (_whole, request) = asked(&listener, 7).await;
+        assert!(request.starts_with("GET /api/targets HTTP/1.1"), "{request}");
+    }
+}
--- a/crates/mixer/src/routing/backoff.rs
+++ b/crates/mixer/src/routing/backoff.rs
@@ -7,7 +7,8 @@
 /// What the one that is asked has for each mixer, if all fail at one moment: the first wait spreads over as many
 /// of these as there are mixers.
 const EACH: Duration = Duration::from_millis(50);
-/// The longest wait after many failures, each of which doubles it.
+/// The longest wait after many failures, each of which doubles it, and the most that is granted to what the other
+/// end asks for; where the first wait is as long already, the next is twice as long all the same.
 const MOST: Duration = Duration::from_secs(16);
 
 /// The waits between the tries at one thing.
@@ -15,19 +16,21 @@
 pub struct Backoff {
     first: Duration,
     longest: Duration,
-    /// The longest wait whatever comes.
     most: Duration,
+    /// What no wait may exceed, whatever the other end asks for.
+    allowed: Duration,
     again: bool,
     random: Rng,
 }
 
 impl Backoff {
-    /// For one of so many `mixers`; they must have different seeds, or they would wait alike. Half of `within`, where
-    /// there is one, is for the call itself: after the first try that failed four times as long is allowed.
+    /// For one of so many `mixers`; they must have different seeds, or they would wait alike. Where something has to
+    /// be had `within` a time, half of that is for the try itself; after one that failed it is four times as long.
     pub fn new(seed: u64, mixers: u32, within: Option<Duration>) -> Backoff {
-        let most = within.map_or(2 * MOST, |within| 2 * within);
-        let first = EACH.saturating_mul(mixers.max(1)).min(MOST).min(most / 4);
-        Backoff { first, longest: first, most, again: false, random: Rng::with_seed(seed) }
+        let allowed = within.map_or(Duration::MAX, |within| 2 * within);
+        let first = EACH.saturating_mul(mixers.max(1)).min(allowed / 4);
+        let most = MOST.max(first.saturating_mul(2)).min(allowed);
+        Backoff { first, longest: first, most, allowed, again: false, random: Rng::with_seed(seed) }
     }
 
     /// How long to wait after a try that has ended; `had` says that it brought what was asked for, so that
@@ -42,9 +45,9 @@
         let least = if self.again { self.longest / 2 } else { Duration::ZERO };
         let wait = least + (self.longest - least).mul_f64(self.random.f64());
         self.again = true;
-        self.longest = (self.longest * 2).min(MOST).min(self.most);
+        self.longest = (self.longest * 2).min(self.most);
         // Spread past the told time too: whoever was turned away together was told the same.
-        wait + told.unwrap_or_default().min(MOST).min(self.most - wait)
+        wait + told.unwrap_or_default().min(MOST).min(self.allowed - wait)
     }
 }
 
@@ -55,10 +58,10 @@
     const MS: fn(u64) -> Duration = Duration::from_millis;
 
     /// The moments, in ms, at which mixers that failed together at 0 ask in the time that follows.
-    fn asks(mixers: u64, until: Duration) -> Vec<u64> {
+    fn asks(mixers: u32, until: Duration) -> Vec<u64> {
         let mut all = Vec::new();
-        for seed in 0..mixers {
-            let mut backoff = Backoff::new(seed, 100, None);
+        for seed in 0..u64::from(mixers) {
+            let mut backoff = Backoff::new(seed, mixers, None);
             let mut at = backoff.after(false, None);
             while at < until {
                 all.push(at.as_millis() as u64);
@@ -78,6 +81,16 @@
         assert!(late >= 50, "nobody gives up");
     }
 
+    #[test]
+    fn no_fleet_is_too_large_to_be_spread() {
+        for mixers in [320, 350, 1024] {
+            let asks = asks(mixers, EACH * mixers);
+            let most =
+                (0..=u64::from(mixers) / 20).map(|s| asks.iter().filter(|at| **at / 1000 == s).count()).max();
+            assert!(most < Some(40), "{mixers} mixers: {most:?} asks in one second, of 20 on average");
+        }
+    }
+
     #[test]
     fn what_was_had_is_asked_for_again_soon() {
         let mut backoff = Backoff::new(1, 100, None);
--- a/crates/mixer/src/transport/watch.rs
+++ b/crates/mixer/src/transport/watch.rs
@@ -28,17 +28,25 @@
 pub async fn follow(shared: Shared, address: SocketAddr, index: Option<u64>) {
     let watching = shared.watching.clone();
     let mut follower = Follower { shared, watching, address, index, had: false };
+    let mut failing = false;
     loop {
         follower.had = false;
         let began = Instant::now();
         let Err(why) = follower.watch().await else { continue };
+        failing &= !follower.had;
         let silent = why.kind() == ErrorKind::TimedOut;
         follower.tell(Input::Watch(WatchNews::Ended { silent })).await;
         let told = why.get_ref().and_then(|e| e.downcast_ref::<TurnedAway>()).and_then(|e| e.come_back);
         let ended = Ended { lasted: began.elapsed(), had: follower.had, silent, told };
         let wait = follower.watching.after(ended);
         let (index, wait_ms) = (follower.index, wait.as_millis());
-        tracing::info!(%address, index, wait_ms, "watch on discovery ended: {why}");
+        if !failing {
+            tracing::info!(%address, index, wait_ms, "watch on discovery ended: {why}");
+        } else {
+            // The first one said it; the log is not for the tries that follow.
+            tracing::debug!(%address, index, wait_ms, "discovery asked in vain again: {why}");
+        }
+        failing = true;
         sleep(wait).await;
     }
 }
@@ -58,6 +66,13 @@
         watched
     }
 
+    /// What came is of no use. From the same version on it would come again, and what it was to tell is not known:
+    /// the whole list comes first.
+    fn astray(&mut self, why: String) -> io::Error {
+        self.index = None;
+        io::Error::new(ErrorKind::InvalidData, why)
+    }
+
     async fn read(&mut self, connection: &mut Framed<TcpStream, WatchCodec>) -> io::Result<()> {
         let (host, from) = (self.address.to_string(), self.index);
         connection.send(WatchRequest { host, from }).await?;
@@ -67,7 +82,7 @@
             let most = if self.had { self.watching.silent() } else { self.watching.answer() };
             let object = timeout(most, connection.next()).await.map_err(|_| ErrorKind::TimedOut)?;
             let Some(object) = object else { return Err(ErrorKind::UnexpectedEof.into()) };
-            let listing = discovery::read(&object?).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
+            let listing = discovery::read(&object?).map_err(|why| self.astray(why))?;
             self.had = true;
             let Some(listing) = listing else {
                 self.tell(Input::Watch(WatchNews::Alive)).await;
@@ -75,11 +90,9 @@
             };
             let Listing { index, snapshot, .. } = listing;
             if from.is_some_and(|from| index < from) && !snapshot {
-                // Changes of a count that is behind ours: we may hold what it has never told.
-                self.index = None;
                 let why =
                     format!("changes up to version {index}, asked for from {}", from.unwrap_or_default());
-                return Err(io::Error::new(ErrorKind::InvalidData, why));
+                return Err(self.astray(why));
             }
             self.tell(Input::Listed(listing)).await;
             self.index = Some(index);
