--- a/crates/mixer/src/routing/state/attempts.rs
+++ b/crates/mixer/src/routing/state/attempts.rs
@@ -143,12 +143,11 @@
                 };
                 let parts: Vec<CallPart> = call.into_iter().filter_map(part).collect();
                 self.counters.sent.calls += u64::from(!parts.is_empty());
-                let (index, since_heard_ms) = (self.replicas.index, now.saturating_sub(self.heard) / MS);
                 tracing::debug!(
                     replica = replica.0,
                     parts = parts.len(),
-                    index,
-                    since_heard_ms,
+                    index = self.replicas.index,
+                    since_heard_ms = now.saturating_sub(self.heard) / MS,
                     "call written"
                 );
                 (!parts.is_empty()).then_some(ToLeaf::Call(parts))
