--- a/crates/standins/src/installation.rs
+++ b/crates/standins/src/installation.rs
@@ -136,7 +136,8 @@
                 "connect_timeout_ns": 250 * MS, "conn_idle_ns": 30_000 * MS, "open_cap": 4096,
                 "max_retry_after_ns": 300 * MS},
             "discovery": "pushed",
-            "guarantees": {"stop_sending_within_ns": GRACE.as_nanos() as u64, "cold_from": 0.5, "cold_ns": 1000 * MS, "fall_multiple": 6.0, "fall_ns": 2000 * MS},
+            "guarantees": {"stop_sending_within_ns": GRACE.as_nanos() as u64,
+                "cold_from": 0.5, "cold_ns": 1000 * MS, "fall_multiple": 6.0, "fall_ns": 2000 * MS},
         }
     })
 }
