Take a call at a socket that we close for one that may have run

The socket may have taken the last byte already, with LinkWrote still in the queue behind the spoilt answer: a part that may not run twice would run twice. The test in reducer.rs fails without it (unreachable 1, broken 0).

--- a/crates/mixer/src/routing/state/links.rs
+++ b/crates/mixer/src/routing/state/links.rs
@@ -54,12 +54,9 @@
         self.pending.insert(link);
     }
 
-    /// The socket still has the call that it had when its replica was told leaving. Whether any of it has gone out,
-    /// or all of it just now, is not known: it may have run.
+    /// The socket still has the call that it had when its replica was told leaving.
     pub(super) fn stuck(&mut self, now: Nanos, link: LinkId, given: Nanos) {
-        let Some((_, it)) = self.links.get_mut(&link) else { return };
-        if it.call_given() == Some(given) {
-            it.wrote();
+        if self.links.get(&link).and_then(|(_, it)| it.call_given()) == Some(given) {
             self.counters.watches.stuck += 1;
             tracing::info!(link, "a call was not taken by its connection before its replica left: closed");
             self.close_link(now, link);
@@ -189,8 +186,12 @@
         }
     }
 
-    /// Closes a connection of ours, for whatever is still on it as if it had broken.
+    /// Closes a connection of ours, for whatever is still on it as if it had broken. The socket may have taken the
+    /// last byte of a call a moment ago and not have said so yet: that call may run.
     pub(super) fn close_link(&mut self, now: Nanos, link: LinkId) {
+        if let Some((_, it)) = self.links.get_mut(&link).filter(|(_, it)| it.call_given().is_some()) {
+            it.wrote();
+        }
         self.effects.push(Effect::CloseLink { link });
         self.link_ended(now, link);
     }
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -309,6 +309,21 @@
     }
 }
 
+/// Its socket may have taken it to the last byte and not have said so yet: a part that may not run twice must not be
+/// sent again for that.
+#[test]
+fn a_call_at_a_socket_that_we_close_may_have_run() {
+    let mut bed = Bed::new(1);
+    bed.ask(1, &[1.0]);
+    bed.open_all();
+    let link = *bed.links.keys().next().unwrap();
+    bed.stuck = true;
+    bed.ask(1, &[1.0]);
+    bed.spoil(link, true);
+    let ended = &bed.state.counters().ended;
+    assert_eq!((ended.error, ended.broken, ended.unreachable), (1, 1, 0));
+}
+
 #[test]
 fn an_answer_for_nothing_that_is_out_is_spoilt_but_a_copy_is_not() {
     let mut bed = Bed::new(1);
