Hold the ramp of a cold server for the sum of all mixers, over any window

Three causes, each counted by the same test after the one before was mended: - choice.rs, COLD_QUICK: answers that come quickly raised the told room by 1.7 of 0.7, past all that the settings allow. It is all of it now. A turn lasts as long from when there is work for it. - cold_room: the ramp was read at the end of the time over which sends are counted; now at its middle.

Constants: COLD_QUICK.1 only, from the rule on cold servers.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -53,8 +53,8 @@
 /// Share of the multiple that brings a cold replica down which may be used up on the word of the settings alone.
 const COLD_TOLD: f64 = 0.7;
 /// Share of the aim within which a cold replica's answers show that it has room, and how much more it then
-/// gets: its true start lies anywhere above the told one.
-const COLD_QUICK: (f64, f64) = (0.25, 1.7);
+/// gets: its true start lies anywhere above the told one, but all that the settings allow is all there is.
+const COLD_QUICK: (f64, f64) = (0.25, 1.0 / COLD_TOLD);
 /// Share of the aim past which a query's slowest part has it refused.
 const REFUSE_AT: f64 = 0.5;
 /// Bounds of the factor by which a query's worth for its parts moves that share.
@@ -114,6 +114,8 @@
     rests_until: Nanos,
     full_until: Nanos,
     sends: VecDeque<Nanos>,
+    /// While it is cold: since when it has its turn, and how much that adds to its room.
+    turn: (Nanos, f64),
 }
 
 #[derive(Clone, Debug, Default)]
@@ -593,6 +595,7 @@
     /// The design's choice: least smoothed latency times own open calls plus one. Suspects come after all
     /// others, and replicas that this part has tried come after those that it has not.
     fn choose(&mut self, part: &Part) -> Option<ReplicaId> {
+        self.take_turns(part.shard);
         let mut best: Option<((u32, f64, bool, u32), ReplicaId)> = None;
         let mut random = fastrand::Rng::with_seed(self.random);
         for (id, replica) in self.holders(part.shard) {
@@ -647,6 +650,20 @@
         replica.standing == Standing::Ready && (recent as f64) < self.cold_room(replica)
     }
 
+    /// Turns at cold holders come no closer than the time in which they fall, from when there is work for them: were
+    /// they all to end at one moment, those of this one and of the next would meet in one such time.
+    fn take_turns(&mut self, shard: u32) {
+        let (span, now, seed) = (self.settings.fall_time.max(1), self.now, self.seed);
+        let cold = |r: &Replica| r.started > 0 && now.saturating_sub(r.started) < self.settings.cold_time;
+        let due = |r: &Replica| cold(r) && now >= r.turn.0 + span;
+        let due: Vec<ReplicaId> = self.holders(shard).filter(|(_, r)| due(r)).map(|(id, _)| id).collect();
+        for id in due {
+            let Some(replica) = self.replicas.get_mut(&id) else { continue };
+            let seed = seed ^ replica.started ^ now.rotate_left(32);
+            replica.turn = (now, fastrand::Rng::with_seed(seed).f64());
+        }
+    }
+
     /// Slow start: the guide is what its likes answered to us for long, or where that is little yet, what the
     /// tenants' allowances say that all can bear: at no room the warm ones are left with all the work. Dozens
     /// with one part each push it over: of less than one, the seed decides when it goes.
@@ -657,9 +674,11 @@
         if replica.started == 0 || age >= self.settings.cold_time {
             return f64::INFINITY;
         }
-        let warmth = from + (1.0 - from) * age as f64 / self.settings.cold_time as f64;
-        let ready = self.replicas.values().filter(|r| r.standing == Standing::Ready).count().max(1);
         let span = self.settings.fall_time.max(1);
+        // The sends of a whole such time count, and it bore less at the beginning of that.
+        let warmth =
+            from + (1.0 - from) * age.saturating_sub(span / 2) as f64 / self.settings.cold_time as f64;
+        let ready = self.replicas.values().filter(|r| r.standing == Standing::Ready).count().max(1);
         let counted = self.memory().min((self.now - self.born).max(self.settings.cold_time) as f64);
         let mixers = f64::from(self.settings.coordinators.max(1));
         let told = self.settings.allowance * self.breadth.unwrap_or(0.0) / mixers / SECOND as f64;
@@ -668,9 +687,7 @@
         // More of what is told only: what was answered is used up to the whole multiple already.
         let told = COLD_TOLD * told * if quick { COLD_QUICK.1 } else { 1.0 };
         let usual = (self.served.0 / counted).max(told) * span as f64 / ready as f64;
-        let seed = self.seed ^ replica.started ^ (self.now / span).rotate_left(32);
-        let turn = fastrand::Rng::with_seed(seed).f64();
-        ((multiple * warmth * usual).max(1.0 / mixers) + turn).floor()
+        ((multiple * warmth * usual).max(1.0 / mixers) + replica.turn.1).floor()
     }
 
     fn memory(&self) -> f64 {
