--- a/crates/standins/src/installation.rs
+++ b/crates/standins/src/installation.rs
@@ -33,6 +33,8 @@
     pub seed: u64,
     /// How many mixers the settings tell of; three run.
     pub fleet: u32,
+    /// Descriptors that each mixer may hold.
+    pub sockets: usize,
     /// The middle of a part's time at a leaf server.
     pub work: Duration,
     /// Parts that a leaf server works on at once.
@@ -49,7 +51,7 @@
     /// A small one that keeps no log and serves nothing but the native front.
     fn default() -> Plan {
         let (work, ledger) = (Duration::from_millis(5), String::new());
-        Plan { seed: 0, fleet: 3, work, slots: 16, usage: false, search: false, ledger }
+        Plan { seed: 0, fleet: 3, sockets: 1024, work, slots: 16, usage: false, search: false, ledger }
     }
 }
 
@@ -122,15 +124,16 @@
 }
 
 fn platform(
-    name: &str, zone: usize, listen: SocketAddr, discovery: SocketAddr, seed: u64, fleet: u32, known: &Value,
+    name: &str, zone: usize, listen: SocketAddr, discovery: SocketAddr, plan: &Plan, known: &Value,
 ) -> Value {
+    let (seed, fleet, sockets) = (plan.seed ^ (zone as u64 + 1), plan.fleet, plan.sockets);
     let class = |(name, aim, give_up, _): &(&str, u64, u64, f64)| {
         json!({"name": name, "aim_ns": aim * MS, "give_up_ns": give_up * MS, "semantics": "read_like",
             "importance": 1.0, "late_value": 0.3})
     };
     json!({
         "name": name, "listen": listen, "discovery": discovery, "seed": format!("{seed:016x}"),
-        "limits": {"sockets": 1024}, "known": known,
+        "limits": {"sockets": sockets}, "known": known,
         "settings": {
             "classes": CLASSES.iter().map(class).collect::<Vec<_>>(),
             "orgs": TENANTS.map(|name| json!({"name": name})),
@@ -182,11 +185,10 @@
             let file = |what: &str| folder.join(format!("{name}.{what}"));
             let (address, collect, search) = (free_port(ip)?, free_port(ip)?, free_port(ip)?);
             let (config, settings, usage) = (file("json"), file("ini"), file("usage"));
-            let seed = installation.plan.seed ^ (zone as u64 + 1);
             let (at, known) = (installation.discovery.address, installation.discovery.known());
             fs::write(
                 &config,
-                format!("{:#}", platform(&name, zone, address, at, seed, installation.plan.fleet, &known)),
+                format!("{:#}", platform(&name, zone, address, at, &installation.plan, &known)),
             )?;
             let shown = usage.display();
             let mut own = if installation.plan.usage {
@@ -229,8 +231,10 @@
     /// It can't be started.
     pub fn launch_mixer(&mut self, at: usize) -> io::Result<()> {
         let mixer = &mut self.mixers[at];
-        let mut command = Command::new(&self.program);
-        command.arg("--config").arg(&mixer.config).arg("--settings").arg(&mixer.settings);
+        // The limit holds for the process alone, which the shell becomes.
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", "ulimit -n \"$0\" && exec \"$@\""]).arg(self.plan.sockets.to_string());
+        command.arg(&self.program).arg("--config").arg(&mixer.config).arg("--settings").arg(&mixer.settings);
         command.env_remove("BALANCER_CONFIG").env_remove("COTTONHILL_SETTINGS").env_remove("COTTONHILL_LOG");
         mixer.process = Some(Process::start(&mut command, &mixer.log)?);
         Ok(())
