Let a new process wait for its first list where discovery is asked, too

What discovery had long ago counts as told 6 s after it could be reached, and a process that starts on the list that it held before (Watching::first_list, none for Way::Asked) sent on that at once, to servers that had left meanwhile. Read off the source; a process with a pushed list waited already. Now both take queries and decide nothing until the first list is in, for 1 s at the most, and are not ready until then.

What is read behind a request that waits no longer stands in the state of each client's task (4 KiB for each).

--- a/crates/mixer/src/routing/state/mod.rs
+++ b/crates/mixer/src/routing/state/mod.rs
@@ -245,10 +245,8 @@
         state.listed = state.replicas.any_ready();
         state.events.push(Event::List { kind: ListKind::Remembered, members });
         state.turn(now);
-        if let Some(within) = state.watching.first_list() {
-            state.unheard = true;
-            state.alarms.insert((now + within.as_nanos() as Nanos, Alarm::Unheard));
-        }
+        state.unheard = true;
+        state.alarms.insert((now + state.watching.first_list().as_nanos() as Nanos, Alarm::Unheard));
         state
     }
 
--- a/crates/mixer/src/routing/watching.rs
+++ b/crates/mixer/src/routing/watching.rs
@@ -52,6 +52,9 @@
 /// found out by then.
 const PUSHED_ANSWER: Duration = Duration::from_secs(1);
 
+/// A new process waits for its first list no longer.
+const FIRST_LIST: Duration = Duration::from_secs(1);
+
 #[derive(Clone, Debug)]
 pub struct Watching {
     way: Way,
@@ -81,14 +84,11 @@
         }
     }
 
-    /// For the first list after a start, before which nothing is sent; none where the list held before is in force
-    /// until discovery could be asked. An agent that has left a whole try unanswered is silent, and what was held
-    /// is the best there is.
-    pub fn first_list(&self) -> Option<Duration> {
-        match self.way {
-            Way::Pushed { .. } => Some(PUSHED_ANSWER),
-            Way::Asked { .. } => None,
-        }
+    /// For the first list after a start, before which nothing is sent: what discovery had long ago counts as told to a
+    /// new process as well. One that has left it unanswered for so long is silent or overbooked, and what was held
+    /// before is the best there is.
+    pub fn first_list(&self) -> Duration {
+        FIRST_LIST.min(self.answer())
     }
 
     /// Whether a new address means another list, with versions of its own: agents hold one each, a service one for
--- a/crates/mixer/src/transport/clients.rs
+++ b/crates/mixer/src/transport/clients.rs
@@ -6,8 +6,11 @@
 use crate::protocol::query::{self, Reply};
 use crate::routing::{ClientId, Input};
 use futures_util::{SinkExt, StreamExt};
+use std::future::poll_fn;
 use std::io;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWriteExt, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout, Duration, Instant};
@@ -171,31 +174,43 @@
     if !waits {
         return connection.next().await.transpose().map(|next| next.map_or(Ahead::End, Ahead::Request));
     }
+    poll_fn(|cx| {
+        read_some(connection, cx, |connection, bytes| {
+            let kept = connection.read_buffer_mut();
+            if bytes.is_empty() {
+                Ahead::End
+            } else if kept.len() + bytes.len() > BUFFER {
+                Ahead::Lost
+            } else {
+                kept.extend_from_slice(bytes);
+                Ahead::Kept
+            }
+        })
+    })
+    .await
+}
+
+/// Hands on what has come, undecoded; nothing at the end. It yields now and then to other tasks however much comes, and
+/// what it reads into is no part of the many tasks that may wait here.
+fn read_some<T>(
+    connection: &mut Connection, cx: &mut Context, take: impl FnOnce(&mut Connection, &[u8]) -> T,
+) -> Poll<io::Result<T>> {
     let mut bytes = [0; AHEAD_AT_ONCE];
-    // Not `try_read`: this one yields now and then to the other tasks, however much comes.
-    let read = connection.get_mut().read(&mut bytes).await?;
-    let kept = connection.read_buffer_mut();
-    if read == 0 {
-        return Ok(Ahead::End);
-    }
-    if kept.len() + read > BUFFER {
-        return Ok(Ahead::Lost);
-    }
-    kept.extend_from_slice(&bytes[..read]);
-    Ok(Ahead::Kept)
+    let mut bytes = ReadBuf::new(&mut bytes);
+    let read = Pin::new(connection.get_mut()).poll_read(cx, &mut bytes);
+    read.map_ok(|()| take(connection, bytes.filled()))
 }
 
 /// Says that no more is answered here, and throws away what still comes: to close over unread bytes would reset the
 /// connection, and the reset can overtake the reply before it. A client whose request crosses that sees the end
 /// and repeats it elsewhere, unharmed.
 async fn linger(connection: &mut Connection, commands: &mut mpsc::Receiver<Command>, most: Duration) {
-    let stream = connection.get_mut();
-    if stream.shutdown().await.is_err() {
+    if connection.get_mut().shutdown().await.is_err() {
         return;
     }
     let rest = async {
-        let mut bytes = [0; AHEAD_AT_ONCE];
-        while stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {}
+        let more = |_: &mut Connection, bytes: &[u8]| !bytes.is_empty();
+        while poll_fn(|cx| read_some(connection, cx, more)).await.is_ok_and(|more| more) {}
     };
     tokio::select! {
         biased;
