--- a/crates/mixer/tests/bed/mod.rs
+++ b/crates/mixer/tests/bed/mod.rs
@@ -331,8 +331,14 @@
 
     /// A list comes in, whatever is known of its addresses.
     pub fn listed(&mut self, snapshot: bool, lines: &[(u64, &str, u64)]) {
+        let change = self.change(snapshot, lines);
+        self.put(change);
+    }
+
+    /// The same, not yet put in.
+    pub fn change(&mut self, snapshot: bool, lines: &[(u64, &str, u64)]) -> Input {
         self.index += 1;
-        self.put(Input::Listed(listing(self.index, snapshot, lines)));
+        Input::Listed(listing(self.index, snapshot, lines))
     }
 
     /// A replica is listed as up where another one's address would be.
