Lose no accepted connection as the listener stops

The select that ended accepting could drop a connection between accept and the reducer being told, where the queue of inputs was full: reset with no answer, and its entry kept. Read off clients.rs, listen; only the accept itself is dropped now. No test forces a full queue at that moment.

--- a/crates/mixer/src/transport/clients.rs
+++ b/crates/mixer/src/transport/clients.rs
@@ -43,9 +43,25 @@
 /// is room. The end of a listener resets what it still holds.
 pub async fn listen(shared: Shared, listener: TcpListener, most: usize) {
     let mut stopped = shared.stopped.subscribe();
-    tokio::select! {
-        () = accept(&shared, &listener, most) => {}
-        _ = stopped.wait_for(|stopped| *stopped) => {}
+    loop {
+        let accepted = async {
+            while shared.clients.borrow().len() >= most {
+                shared.client_ended.notified().await;
+            }
+            listener.accept().await
+        };
+        // Nothing is lost where this is dropped: what was accepted is admitted below.
+        tokio::select! {
+            biased;
+            _ = stopped.wait_for(|stopped| *stopped) => break,
+            accepted = accepted => match accepted {
+                Ok((stream, _)) => admit(&shared, stream).await,
+                Err(e) => {
+                    tracing::warn!("accept: {e}");
+                    sleep(ACCEPT_AGAIN).await;
+                }
+            },
+        }
     }
     while shared.clients.borrow().len() < most {
         let Ok(Ok((stream, _))) = timeout(LAST_ACCEPT, listener.accept()).await else { break };
@@ -55,21 +71,6 @@
     let _ = shared.inputs.send(Input::StoppedListening).await;
 }
 
-async fn accept(shared: &Shared, listener: &TcpListener, most: usize) {
-    loop {
-        while shared.clients.borrow().len() >= most {
-            shared.client_ended.notified().await;
-        }
-        match listener.accept().await {
-            Ok((stream, _)) => admit(shared, stream).await,
-            Err(e) => {
-                tracing::warn!("accept: {e}");
-                sleep(ACCEPT_AGAIN).await;
-            }
-        }
-    }
-}
-
 /// The reducer knows of a client before its task runs.
 async fn admit(shared: &Shared, stream: TcpStream) {
     let client = shared.client();
