Call Retry-After, the staleness bound and control messages by their names

watching.rs, backoff.rs, http.rs: told and come_back are retry_after; COUNTS_AS_TOLD is STALENESS_BOUND; transport::Told is Control, its End Terminate. No behaviour changes; the mixer's tests pass.

--- a/crates/cottonhill/src/program.rs
+++ b/crates/cottonhill/src/program.rs
@@ -9,7 +9,7 @@
 use cottonhill_ledger::writer;
 use cottonhill_mixer::config::Config;
 use cottonhill_mixer::routing::State;
-use cottonhill_mixer::transport::{self, Addresses, Clock, Told};
+use cottonhill_mixer::transport::{self, Addresses, Clock, Control};
 use cottonhill_opensearch::tls::Tls;
 use std::path::Path;
 use std::rc::Rc;
@@ -100,10 +100,10 @@
         tokio::task::spawn_local(async move {
             while signals.recv().await.is_some() {
                 let what = if kind == SignalKind::hangup() {
-                    Told::Reload(running.reload())
+                    Control::Reload(running.reload())
                 } else {
                     tracing::info!("told to end");
-                    Told::End
+                    Control::Terminate
                 };
                 let _ = tell.send(what).await;
             }
--- a/crates/mixer/src/protocol/http.rs
+++ b/crates/mixer/src/protocol/http.rs
@@ -322,7 +322,7 @@
 #[derive(Debug, PartialEq)]
 pub struct TurnedAway {
     pub status: u16,
-    pub come_back: Option<Duration>,
+    pub retry_after: Option<Duration>,
 }
 
 impl std::error::Error for TurnedAway {}
@@ -330,12 +330,12 @@
 impl std::fmt::Display for TurnedAway {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         write!(f, "discovery answered {}", self.status)?;
-        self.come_back.map_or(Ok(()), |after| write!(f, ", to come back in {} ms", after.as_millis()))
+        self.retry_after.map_or(Ok(()), |after| write!(f, ", to come back in {} ms", after.as_millis()))
     }
 }
 
 /// `Retry-After` in seconds, whole or decimal; a date or nonsense says nothing.
-fn come_back(headers: &[httparse::Header]) -> Option<Duration> {
+fn retry_after(headers: &[httparse::Header]) -> Option<Duration> {
     let header = headers.iter().find(|header| header.name.eq_ignore_ascii_case("retry-after"))?;
     let seconds: f64 = std::str::from_utf8(header.value).ok()?.trim().parse().ok()?;
     Duration::try_from_secs_f64(seconds).ok()
@@ -353,8 +353,8 @@
             httparse::Status::Complete(length) => {
                 let status = parsed.code.unwrap_or_default();
                 if status != 200 {
-                    let come_back = come_back(parsed.headers);
-                    let why = TurnedAway { status, come_back };
+                    let retry_after = retry_after(parsed.headers);
+                    let why = TurnedAway { status, retry_after };
                     return Err(io::Error::new(ErrorKind::InvalidData, why));
                 }
                 let body = framing(parsed.headers).map_err(invalid)?;
--- a/crates/mixer/src/routing/backoff.rs
+++ b/crates/mixer/src/routing/backoff.rs
@@ -27,17 +27,17 @@
     }
 
     /// How long to wait after a try that has ended, `room` at the most; `had` says that it brought what was asked
-    /// for, so that the next failure is a first one, `told` what the other end asked for at the least. The first
+    /// for, so that the next failure is a first one, `retry_after` what the other end asked for at the least. The first
     /// wait is anything from none up, so that what failed for all at one moment is not asked for by all at another;
     /// later ones are never short, so that the asking becomes less. Whoever was turned away together was told the
     /// same: half of the room stays to spread in, whatever that was.
-    pub fn after(&mut self, had: bool, told: Option<Duration>, room: Duration) -> Duration {
+    pub fn after(&mut self, had: bool, retry_after: Option<Duration>, room: Duration) -> Duration {
         if had {
             (self.longest, self.again) = (self.first, false);
         }
-        let told = told.unwrap_or_default().min(room / 2);
-        let longest = (told + self.longest).min(room);
-        let least = told.max(if self.again { longest / 2 } else { Duration::ZERO });
+        let asked = retry_after.unwrap_or_default().min(room / 2);
+        let longest = (asked + self.longest).min(room);
+        let least = asked.max(if self.again { longest / 2 } else { Duration::ZERO });
         self.again = true;
         self.longest = (self.longest * 2).min(self.most);
         least + longest.saturating_sub(least).mul_f64(self.random.f64())
--- a/crates/mixer/src/routing/watching.rs
+++ b/crates/mixer/src/routing/watching.rs
@@ -29,13 +29,13 @@
     pub had: bool,
     /// It fell silent: its connection is open and nothing comes.
     pub silent: bool,
-    /// What the other end asked to be left alone for.
-    pub told: Option<Duration>,
+    /// What the other end asked for with `Retry-After`.
+    pub retry_after: Option<Duration>,
 }
 
 /// What discovery has counts as told so long after it had it and could be reached, whichever calls failed meanwhile;
 /// so does what a silent watch misses, from when it fell silent.
-pub const COUNTS_AS_TOLD: Duration = Duration::from_secs(6);
+pub const STALENESS_BOUND: Duration = Duration::from_secs(6);
 /// Of that, what is left for the try that succeeds: to connect, and to be answered.
 const LAST_TRY: Duration = Duration::from_millis(1_500);
 /// A sign of life is due every 2 s; one is late by half of the time between two. Taking a watch that lives for dead
@@ -111,12 +111,12 @@
             Way::Asked { .. } => {
                 let room = match ended {
                     // The clock for silence has run since the last line, and runs on.
-                    Ended { had: true, silent: true, .. } => COUNTS_AS_TOLD - SILENT - LAST_TRY,
+                    Ended { had: true, silent: true, .. } => STALENESS_BOUND - SILENT - LAST_TRY,
                     Ended { had: true, .. } => apart,
                     // Discovery may have come back right after this try began.
                     Ended { had: false, lasted, .. } => apart.saturating_sub(lasted),
                 };
-                self.backoff.after(ended.had, ended.told, room.min(apart))
+                self.backoff.after(ended.had, ended.retry_after, room.min(apart))
             }
         }
     }
@@ -126,6 +126,6 @@
 fn apart(way: Way) -> Duration {
     match way {
         Way::Pushed { grace } => (grace / TRIES_A_GRACE).clamp(APART.0, APART.1),
-        Way::Asked { within } => (COUNTS_AS_TOLD - LAST_TRY).min(within.unwrap_or(Duration::MAX)),
+        Way::Asked { within } => (STALENESS_BOUND - LAST_TRY).min(within.unwrap_or(Duration::MAX)),
     }
 }
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -52,8 +52,8 @@
 }
 
 /// What the operator says to a running mixer.
-pub enum Told {
-    End,
+pub enum Control {
+    Terminate,
     /// Whom to speak to from now on; none if what was read does not do.
     Reload(Option<Addresses>),
 }
@@ -69,7 +69,7 @@
     /// What discovery tells, which does not wait behind the rest.
     lists: mpsc::Sender<Input>,
     clients: Rc<RefCell<HashMap<ClientId, mpsc::Sender<clients::Command>>>>,
-    /// Told whenever a client's connection has ended: there may be room for one more.
+    /// Control whenever a client's connection has ended: there may be room for one more.
     client_ended: Rc<Notify>,
     names: Rc<Names>,
     last_client: Rc<Cell<ClientId>>,
@@ -147,7 +147,7 @@
 /// Serves on `listener` until the reducer asks for the end. Must run inside a `LocalSet`.
 pub async fn serve(
     mut state: State, clock: Clock, names: Names, listener: TcpListener, addresses: Addresses,
-    mut told: mpsc::Receiver<Told>, beside: Beside,
+    mut told: mpsc::Receiver<Control>, beside: Beside,
 ) -> io::Result<()> {
     let (inputs, mut arrived) = mpsc::channel(MOST_INPUTS);
     let (lists, mut listed) = mpsc::channel(MOST_LISTS);
@@ -180,8 +180,8 @@
             biased;
             Some(told) = told.recv() => {
                 let input = match told {
-                    Told::End => Input::Terminate,
-                    Told::Reload(addresses) => driver.reload(addresses),
+                    Control::Terminate => Input::Terminate,
+                    Control::Reload(addresses) => driver.reload(addresses),
                 };
                 driver.put(&mut state, clock.now(), input);
             }
--- a/crates/mixer/src/transport/watch.rs
+++ b/crates/mixer/src/transport/watch.rs
@@ -36,8 +36,9 @@
         failing &= !follower.had;
         let silent = why.kind() == ErrorKind::TimedOut;
         follower.tell(Input::Watch(WatchNews::Ended { silent })).await;
-        let told = why.get_ref().and_then(|e| e.downcast_ref::<TurnedAway>()).and_then(|e| e.come_back);
-        let ended = Ended { lasted: began.elapsed(), had: follower.had, silent, told };
+        let retry_after =
+            why.get_ref().and_then(|e| e.downcast_ref::<TurnedAway>()).and_then(|e| e.retry_after);
+        let ended = Ended { lasted: began.elapsed(), had: follower.had, silent, retry_after };
         let wait = follower.watching.after(ended);
         let (index, wait_ms) = (follower.index, wait.as_millis());
         if !failing {
--- a/crates/mixer/tests/crossing.rs
+++ b/crates/mixer/tests/crossing.rs
@@ -7,7 +7,7 @@
 use cottonhill_mixer::protocol::query::Names;
 use cottonhill_mixer::routing::State;
 use cottonhill_mixer::settings;
-use cottonhill_mixer::transport::{self, Addresses, Clock, Told};
+use cottonhill_mixer::transport::{self, Addresses, Clock, Control};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io::Write;
@@ -38,7 +38,7 @@
 /// A mixer, and what the test plays around it.
 struct Stage {
     mixer: SocketAddr,
-    told: mpsc::Sender<Told>,
+    told: mpsc::Sender<Control>,
     leaf: TcpListener,
     answers: Rc<Cell<Answers>>,
     changed: Rc<Notify>,
@@ -295,7 +295,7 @@
         reply(&mut idle).await;
         let mut half = stage.client().await;
         half.write_all(&query("half", "").as_bytes()[..40]).await.unwrap();
-        stage.told.send(Told::End).await.unwrap();
+        stage.told.send(Control::Terminate).await.unwrap();
         for client in [&mut idle, &mut half] {
             assert_eq!(client.read(&mut [0]).await.expect("an end, not a reset"), 0);
         }
--- a/crates/mixer/tests/protocol.rs
+++ b/crates/mixer/tests/protocol.rs
@@ -353,7 +353,7 @@
         let error = WatchCodec::default().decode(&mut bytes).expect_err("no watch");
         let why = error.get_ref().and_then(|e| e.downcast_ref::<TurnedAway>()).expect("turned away");
         assert_eq!(why.status, 503);
-        why.come_back
+        why.retry_after
     };
     assert_eq!(turned_away("Retry-After: 1.5\r\n"), Some(Duration::from_millis(1500)));
     for says_nothing in
--- a/crates/mixer/tests/watching.rs
+++ b/crates/mixer/tests/watching.rs
@@ -1,12 +1,12 @@
 //! How soon a mixer is back on the list after discovery failed it, and what that asks of a discovery that all share.
 
-use cottonhill_mixer::routing::watching::{Ended, Watching, Way, COUNTS_AS_TOLD};
+use cottonhill_mixer::routing::watching::{Ended, Watching, Way, STALENESS_BOUND};
 use std::time::Duration;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 const SIZES: [u32; 8] = [1, 3, 100, 279, 320, 350, 777, 1024];
-const REFUSED: Ended = Ended { lasted: Duration::ZERO, had: false, silent: false, told: None };
-const RESET: Ended = Ended { lasted: Duration::from_secs(60), had: true, silent: false, told: None };
+const REFUSED: Ended = Ended { lasted: Duration::ZERO, had: false, silent: false, retry_after: None };
+const RESET: Ended = Ended { lasted: Duration::from_secs(60), had: true, silent: false, retry_after: None };
 const SILENT: Ended = Ended { silent: true, ..RESET };
 /// To connect and to be answered, where nothing is wrong any more.
 const ANSWERED: Duration = Duration::from_millis(1_500);
@@ -36,7 +36,7 @@
 fn failed(watching: &Watching, failing: Failing) -> Ended {
     match failing {
         Failing::Refused => REFUSED,
-        Failing::TurnedAway(told) => Ended { told: Some(told), ..REFUSED },
+        Failing::TurnedAway(told) => Ended { retry_after: Some(told), ..REFUSED },
         Failing::NoConnection => Ended { lasted: watching.connect(), silent: true, ..REFUSED },
         Failing::Unanswered => {
             Ended { lasted: watching.connect() + watching.answer(), silent: true, ..REFUSED }
@@ -68,7 +68,7 @@
             let first = [Duration::ZERO].into_iter().chain(all.iter().copied());
             for (before, next) in first.zip(&all) {
                 let told = *next + ANSWERED - before;
-                assert!(told <= COUNTS_AS_TOLD, "{mixers} mixers, {failing:?}: {told:?} after {before:?}");
+                assert!(told <= STALENESS_BOUND, "{mixers} mixers, {failing:?}: {told:?} after {before:?}");
             }
         }
     }
@@ -76,7 +76,7 @@
     for seed in 0..200u64 {
         let mixed = |n: usize| FAILING[(seed as usize + n * 5 + n / 3) % FAILING.len()];
         let all = tries(Way::Asked { within: Some(MS(10_000)) }, seed, 300, mixed, MS(120_000));
-        assert!(all.windows(2).all(|pair| pair[1] - pair[0] + ANSWERED <= COUNTS_AS_TOLD), "{all:?}");
+        assert!(all.windows(2).all(|pair| pair[1] - pair[0] + ANSWERED <= STALENESS_BOUND), "{all:?}");
     }
 }
 
@@ -127,7 +127,7 @@
 #[test]
 fn who_is_told_when_to_come_back_does_not_come_before_nor_past_what_counts_as_told() {
     let after = |told: u64| -> Vec<Duration> {
-        let ended = Ended { told: Some(MS(told)), ..REFUSED };
+        let ended = Ended { retry_after: Some(MS(told)), ..REFUSED };
         (0..50).map(|seed| Watching::new(Way::Asked { within: None }, seed, 100).after(ended)).collect()
     };
     let waits = after(2_000);
@@ -144,7 +144,7 @@
     for grace in [MS(250), MS(2_000)] {
         for mixers in SIZES {
             let mut watching = Watching::new(Way::Pushed { grace }, 1, mixers);
-            for ended in [RESET, SILENT, RESET, Ended { told: Some(MS(60_000)), ..RESET }] {
+            for ended in [RESET, SILENT, RESET, Ended { retry_after: Some(MS(60_000)), ..RESET }] {
                 assert_eq!(watching.after(ended), Duration::ZERO, "{mixers} mixers, {ended:?}");
             }
             for _ in 0..50 {
@@ -171,7 +171,7 @@
                     let wait = watching.after(SILENT);
                     let answered = watching.silent() + wait + ANSWERED;
                     assert!(
-                        answered <= COUNTS_AS_TOLD,
+                        answered <= STALENESS_BOUND,
                         "{way:?}, {mixers} mixers: answered after {answered:?}"
                     );
                 }
