--- a/crates/decisions/tests/ramp.rs
+++ b/crates/decisions/tests/ramp.rs
@@ -1,5 +1,5 @@
-//! The ramp of a cold replica holds for the fleet: many modules side by side, with uneven load, and what they send to one
-//! cold replica together, over any window, against what the settings allow it.
+//! The ramp of a cold replica holds for the fleet: many modules side by side, with uneven load, and what they send to
+//! one cold replica together, over any window, against what the settings allow it.
 
 use cottonhill_decisions::interface::*;
 use cottonhill_decisions::Coordinator;
--- a/crates/mixer/tests/bed/mod.rs
+++ b/crates/mixer/tests/bed/mod.rs
@@ -25,8 +25,8 @@
 limits.max_retry_after_ns=500000000\nlocalities=north,south\nguarantees.stop_sending_within_ns=250000000\n";
 pub const GRACE: u64 = 250 * MS;
 
-/// The settings of four deployments: as above; asked for lists, nothing cancelled, wide times; tenths of its times; many
-/// cells, a class that must not run twice.
+/// The settings of four deployments: as above; asked for lists, with nothing cancelled; with short times; with many
+/// shards and a class that must not run twice.
 pub fn deployments() -> [String; 4] {
     let asked = SETTINGS.replace("limits.cancelling=true", "limits.cancelling=false");
     let asked = asked.replace("limits.max_attempts=4", "limits.max_attempts=3").replace("lookup", "history");
--- a/crates/mixer/tests/crossing.rs
+++ b/crates/mixer/tests/crossing.rs
@@ -1,5 +1,5 @@
-//! Two events that meet on a connection, on real sockets of the loopback. Discovery and the leaf server are played by the
-//! test, which holds its bytes, its accept or its close until it lets go: no sleep decides.
+//! Two events that meet on a connection, on real sockets of the loopback. Discovery and the leaf server are played by
+//! the test, which holds its bytes, its accept or its close until it lets go: no sleep decides.
 
 mod bed;
 
--- a/crates/mixer/tests/gone.rs
+++ b/crates/mixer/tests/gone.rs
@@ -1,5 +1,5 @@
-//! Clients that have gone: nothing begins for them later than a tenth of a second, wherever their query was; and repeats
-//! that have waited past the time in which they are dropped where they go.
+//! Clients that have gone: nothing begins for them later than a tenth of a second, wherever their query was; and
+//! repeats that have waited past the time in which they are dropped where they go.
 
 mod bed;
 
