--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -69,7 +69,7 @@
     /// What discovery tells, which does not wait behind the rest.
     lists: mpsc::Sender<Input>,
     clients: Rc<RefCell<HashMap<ClientId, mpsc::Sender<clients::Command>>>>,
-    /// Control whenever a client's connection has ended: there may be room for one more.
+    /// Told whenever a client's connection has ended: there may be room for one more.
     client_ended: Rc<Notify>,
     names: Rc<Names>,
     last_client: Rc<Cell<ClientId>>,
