End each attempt of the ramp test under its own number

The test ended every attempt as a part's first, so a second copy never ended at its module, and a map was filled that nothing read.

--- a/crates/decisions/tests/ramp.rs
+++ b/crates/decisions/tests/ramp.rs
@@ -70,7 +70,8 @@
     let total: f64 = weights.iter().sum();
     let rate = fleet.load * CAPACITY * REPLICAS as f64 * STEP as f64 / 1000.0;
     let mut due: VecDeque<(u64, usize, u64, u8, ReplicaId)> = VecDeque::new();
-    let mut replicas: BTreeMap<u64, ReplicaId> = BTreeMap::new();
+    // Attempts made so far, by part: each ends under its own number.
+    let mut attempts: BTreeMap<u64, u8> = BTreeMap::new();
     // One replica in cell 0, the rest in cell 1: nobody else holds the shard of the one that is replaced.
     let list: Vec<Member> =
         (1..=REPLICAS).map(|r| member(ReplicaId(r), u16::from(r > 1), Standing::Ready, 0)).collect();
@@ -128,12 +129,11 @@
                 events[i].push(Event::Timer { token: 0 });
             }
             module.handle(now, &events[i], &mut actions);
-            let mut attempts: BTreeMap<u64, u8> = BTreeMap::new();
             for action in actions {
                 if let Action::Send { part, replica, .. } = action {
                     let attempt = attempts.entry(part).or_default();
                     due.push_back((ms + 50, i, part, *attempt, replica));
-                    replicas.insert(part, replica);
+                    *attempt += 1;
                     if replica == COLD {
                         sent.push(ms - start);
                     }
