Say once how a query fails, when a part may be repeated and what waits at a link

From a read of the whole change: turns.rs had the words of a failed query three times; link.rs had is_waiting beside unsent; settings.rs read each class a second time for its repeat window, which the reducer is given with the settings; clients.rs had a copy loop of its own (tokio's copy into a sink now) and results within results (ControlFlow now).

--- a/crates/mixer/src/routing/link.rs
+++ b/crates/mixer/src/routing/link.rs
@@ -248,13 +248,6 @@
         calls.flatten().map(|(attempt, _)| *attempt).collect()
     }
 
-    /// Whether this attempt waits here, and has not gone to the socket.
-    pub fn is_waiting(&self, attempt: AttemptId) -> bool {
-        self.waiting
-            .iter()
-            .any(|job| matches!(job, Job::Call(call) if call.iter().any(|(a, _)| *a == attempt)))
-    }
-
     /// Whether the socket has a call with this part that it has not taken whole.
     pub fn is_writing(&self, part: u64) -> bool {
         matches!(&self.writing, Some(Job::Call(call)) if call.iter().any(|((id, _), _)| *id == part))
--- a/crates/mixer/src/routing/state/attempts.rs
+++ b/crates/mixer/src/routing/state/attempts.rs
@@ -1,6 +1,6 @@
 //! Attempts and probes, from the decision to the one end of each.
 
-use super::{Alarm, Attempt, Probe, State, IDLE_TENTHS, MS};
+use super::{Alarm, Attempt, Part, Probe, State, IDLE_TENTHS, MS};
 use crate::interface::*;
 use crate::protocol::leaf::{CallPart, ToLeaf};
 use crate::routing::link::{AttemptId, Job};
@@ -107,8 +107,11 @@
     fn repeat_until(&self, part: RequestId) -> Option<Nanos> {
         let part = self.parts.get(&part)?;
         let first = part.begun.iter().map(|(_, at)| *at).min()?;
-        let window = self.site.repeat_windows.get(self.queries.get(&part.query)?.class).copied().flatten()?;
-        Some(first.saturating_add(window))
+        Some(first.saturating_add(self.repeat_window(part)?))
+    }
+
+    fn repeat_window(&self, part: &Part) -> Option<Nanos> {
+        self.repeat_windows.get(self.queries.get(&part.query)?.class).copied().flatten()
     }
 
     /// Notes that a call goes to its socket now. One that may not begin later than some time has to be taken by then.
@@ -118,9 +121,8 @@
             if let Some(until) = self.repeat_until(*id) {
                 self.alarms.insert((until.max(now), Alarm::Stuck(link, now)));
             }
-            let Some(part) = self.parts.get_mut(id) else { continue };
-            let class = self.queries.get(&part.query).map_or(0, |query| query.class);
-            if self.site.repeat_windows.get(class).is_some_and(Option::is_some) {
+            let bounded = self.parts.get(id).and_then(|part| self.repeat_window(part)).is_some();
+            if let Some(part) = self.parts.get_mut(id).filter(|_| bounded) {
                 part.begun.push((*number, now));
             }
         }
--- a/crates/mixer/src/routing/state/clients.rs
+++ b/crates/mixer/src/routing/state/clients.rs
@@ -179,7 +179,7 @@
         for part in &query.parts {
             let attempts = self.attempts.range((*part, 0)..=(*part, u8::MAX));
             let waits = |(id, attempt): (&AttemptId, &Attempt)| {
-                self.links.get(&attempt.link).is_some_and(|(_, it)| it.is_waiting(*id)).then_some(*id)
+                self.links.get(&attempt.link).is_some_and(|(_, it)| it.unsent().contains(id)).then_some(*id)
             };
             for waiting in attempts.filter_map(waits).collect::<Vec<_>>() {
                 self.end_attempt(now, waiting, crate::interface::Outcome::Cancelled);
--- a/crates/mixer/src/routing/state/mod.rs
+++ b/crates/mixer/src/routing/state/mod.rs
@@ -12,7 +12,7 @@
 use super::replicas::Replicas;
 use super::usage::JoinKey;
 use super::watching::{Watching, Way};
-use crate::interface::*;
+use crate::interface::{Effect as ClassEffect, *};
 use crate::protocol::discovery::Listing;
 use crate::settings::Site;
 use crate::Coordinator;
@@ -159,6 +159,8 @@
     pending: BTreeSet<LinkId>,
     joining: BTreeSet<LinkId>,
     room: Room,
+    /// For each class: how long after the first attempt that may have run another may begin, where that is bounded.
+    repeat_windows: Vec<Option<Nanos>>,
     /// Clients' connections are accepted.
     listening: bool,
     listed: bool,
@@ -211,7 +213,9 @@
     pub fn new(
         now: Nanos, site: Site, settings: Settings, seed: u64, known: &Listing, descriptors: usize,
     ) -> State {
+        let window = |class: &Class| Some(class.repeat_window).filter(|_| class.effect == ClassEffect::Keyed);
         let mut state = State {
+            repeat_windows: settings.classes.iter().map(window).collect(),
             room: Room::of(descriptors),
             listening: true,
             replicas: Replicas::new(site.zones.clone()),
--- a/crates/mixer/src/routing/state/turns.rs
+++ b/crates/mixer/src/routing/state/turns.rs
@@ -54,10 +54,7 @@
                 self.counters.faults.last_moment += 1;
                 tracing::error!(id, "query still open at the last moment");
                 self.events.push(Event::ClientGone { id });
-                self.finish(now, id, |state, _| {
-                    state.counters.answered.failed += 1;
-                    Reply::Failed
-                });
+                self.fail(now, id);
             }
             Alarm::Mark => self.mark(now),
             Alarm::Unheard if self.unheard => {
@@ -75,10 +72,7 @@
             Alarm::End => {
                 for id in self.queries.keys().copied().collect::<Vec<_>>() {
                     self.events.push(Event::ClientGone { id });
-                    self.finish(now, id, |state, _| {
-                        state.counters.answered.failed += 1;
-                        Reply::Failed
-                    });
+                    self.fail(now, id);
                 }
                 (self.closing, self.listening) = (true, false);
                 self.clients.clear();
@@ -97,10 +91,7 @@
                 state.counters.answered.refused += 1;
                 Reply::Refused { come_back }
             }),
-            Action::Fail { query } => self.finish(now, query, |state, _| {
-                state.counters.answered.failed += 1;
-                Reply::Failed
-            }),
+            Action::Fail { query } => self.fail(now, query),
             Action::Wake { token, after } => {
                 self.alarms.insert((now + after, Alarm::Wake(token)));
             }
@@ -127,6 +118,13 @@
         }
     }
 
+    fn fail(&mut self, now: Nanos, id: RequestId) {
+        self.finish(now, id, |state, _| {
+            state.counters.answered.failed += 1;
+            Reply::Failed
+        });
+    }
+
     pub(super) fn finish(
         &mut self, now: Nanos, id: RequestId, word: impl FnOnce(&mut Self, &(Query, Vec<Part>)) -> Reply,
     ) {
--- a/crates/mixer/src/settings.rs
+++ b/crates/mixer/src/settings.rs
@@ -168,8 +168,6 @@
     pub deadlines: Vec<u64>,
     pub needs: Vec<f64>,
     pub floors: Vec<f64>,
-    /// For each class: how long after the first attempt that may have run another may begin, where that is bounded.
-    pub repeat_windows: Vec<Option<u64>>,
     pub shards: u32,
     pub call_parts: usize,
     pub streams: usize,
@@ -202,7 +200,6 @@
         deadlines: deadlines.collect::<Result<_, _>>()?,
         needs: each("extra.class_need")?,
         floors: each("extra.least_share")?,
-        repeat_windows: (0..classes.len()).map(|i| repeat_window(&pairs, i)).collect::<Result<_, _>>()?,
         tenants: pairs.names("orgs")?,
         zones: pairs.list("localities"),
         zone: pairs.get("my_zone")?.unwrap_or_default(),
@@ -222,11 +219,6 @@
     })
 }
 
-fn repeat_window(pairs: &Pairs, i: usize) -> Result<Option<u64>, String> {
-    let class = class(pairs, i)?;
-    Ok(Some(class.repeat_window).filter(|_| class.effect == Effect::Keyed))
-}
-
 /// Where the settings are silent: bounds that keep memory and waits in hand.
 const OPEN_CAP: usize = 4096;
 const CONNECT_TIMEOUT: u64 = 250_000_000;
--- a/crates/mixer/src/transport/clients.rs
+++ b/crates/mixer/src/transport/clients.rs
@@ -8,9 +8,10 @@
 use futures_util::{SinkExt, StreamExt};
 use std::future::poll_fn;
 use std::io;
+use std::ops::ControlFlow;
 use std::pin::Pin;
-use std::task::{Context, Poll};
-use tokio::io::{AsyncRead, AsyncWriteExt, ReadBuf};
+use std::task::{ready, Poll};
+use tokio::io::{copy, sink, AsyncRead, AsyncWriteExt, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout, Duration, Instant};
@@ -118,8 +119,8 @@
         let incoming = match early.take() {
             Some(incoming) => incoming,
             None => match next_request(connection, commands, begun.take()).await? {
-                Ok(incoming) => incoming,
-                Err(ended) => return Ok(ended),
+                ControlFlow::Continue(incoming) => incoming,
+                ControlFlow::Break(ended) => return Ok(ended),
             },
         };
         let arrived = shared.clock.now();
@@ -176,32 +177,23 @@
         return connection.next().await.transpose().map(|next| next.map_or(Ahead::End, Ahead::Request));
     }
     poll_fn(|cx| {
-        read_some(connection, cx, |connection, bytes| {
-            let kept = connection.read_buffer_mut();
-            if bytes.is_empty() {
-                Ahead::End
-            } else if kept.len() + bytes.len() > BUFFER {
-                Ahead::Lost
-            } else {
-                kept.extend_from_slice(bytes);
-                Ahead::Kept
-            }
-        })
+        // No part of the many tasks that may wait here. The read yields now and then, however much comes.
+        let mut bytes = [0; AHEAD_AT_ONCE];
+        let mut bytes = ReadBuf::new(&mut bytes);
+        ready!(Pin::new(connection.get_mut()).poll_read(cx, &mut bytes))?;
+        let kept = connection.read_buffer_mut();
+        Poll::Ready(Ok(if bytes.filled().is_empty() {
+            Ahead::End
+        } else if kept.len() + bytes.filled().len() > BUFFER {
+            Ahead::Lost
+        } else {
+            kept.extend_from_slice(bytes.filled());
+            Ahead::Kept
+        }))
     })
     .await
 }
 
-/// Hands on what has come, undecoded; nothing at the end. It yields now and then to other tasks however much comes, and
-/// what it reads into is no part of the many tasks that may wait here.
-fn read_some<T>(
-    connection: &mut Connection, cx: &mut Context, take: impl FnOnce(&mut Connection, &[u8]) -> T,
-) -> Poll<io::Result<T>> {
-    let mut bytes = [0; AHEAD_AT_ONCE];
-    let mut bytes = ReadBuf::new(&mut bytes);
-    let read = Pin::new(connection.get_mut()).poll_read(cx, &mut bytes);
-    read.map_ok(|()| take(connection, bytes.filled()))
-}
-
 /// Says that no more is answered here, and throws away what still comes: to close over unread bytes would reset the
 /// connection, and the reset can overtake the reply before it. A client whose request crosses that sees the end
 /// and repeats it elsewhere, unharmed.
@@ -209,10 +201,8 @@
     if connection.get_mut().shutdown().await.is_err() {
         return;
     }
-    let rest = async {
-        let more = |_: &mut Connection, bytes: &[u8]| !bytes.is_empty();
-        while poll_fn(|cx| read_some(connection, cx, more)).await.is_ok_and(|more| more) {}
-    };
+    let mut thrown_away = sink();
+    let rest = copy(connection.get_mut(), &mut thrown_away);
     tokio::select! {
         biased;
         _ = timeout(most, rest) => {}
@@ -233,22 +223,28 @@
     connection.codec().in_request() || !connection.read_buffer().is_empty()
 }
 
+/// What a read brought: a request, or the client's end.
+fn come(next: Option<io::Result<Incoming>>) -> io::Result<ControlFlow<Ended, Incoming>> {
+    Ok(next.transpose()?.map_or(ControlFlow::Break(Ended::ByClient), ControlFlow::Continue))
+}
+
 /// The next request, or how the connection ends without one: the client has closed, says nothing on a new connection
 /// (which `opened` then), or the connection is to end between requests.
 async fn next_request(
     connection: &mut Connection, commands: &mut mpsc::Receiver<Command>, opened: Option<Instant>,
-) -> io::Result<Result<Incoming, Ended>> {
+) -> io::Result<ControlFlow<Ended, Incoming>> {
     let mut begun = opened.or_else(|| in_request(connection).then(Instant::now));
     loop {
         tokio::select! {
             biased;
             next = super::message(connection, &mut begun, WHOLE_REQUEST) => match next {
-                Ok(next) => return Ok(next.transpose()?.ok_or(Ended::ByClient)),
+                Ok(next) => return come(next),
                 Err(_) if in_request(connection) => {
                     connection.codec_mut().give_up();
-                    return Ok(Ok(Err(Rejection { status: 408, why: "the request took too long" })));
+                    let why = "the request took too long";
+                    return Ok(ControlFlow::Continue(Err(Rejection { status: 408, why })));
                 }
-                Err(_) if opened.is_some() => return Ok(Err(Ended::ByUs)),
+                Err(_) if opened.is_some() => return Ok(ControlFlow::Break(Ended::ByUs)),
                 // Readiness was out of date: nothing has begun.
                 Err(_) => begun = None,
             },
@@ -259,13 +255,13 @@
                     let whole = timeout(Duration::ZERO, connection.next()).await;
                     let ended = if room { Ended::ForRoom } else { Ended::ByUs };
                     return match whole {
-                        Ok(next) => Ok(next.transpose()?.ok_or(Ended::ByClient)),
-                        Err(_) => Ok(Err(ended)),
+                        Ok(next) => come(next),
+                        Err(_) => Ok(ControlFlow::Break(ended)),
                     };
                 }
                 // No request is waiting, so no reply is due.
                 Some(Command::Reply(..)) => {}
-                None => return Ok(Err(Ended::ByUs)),
+                None => return Ok(ControlFlow::Break(Ended::ByUs)),
             },
         }
     }
