Reckon the told room of a quick cold server as told, without a factor that undoes one

COLD_QUICK held 1 / COLD_TOLD only to be multiplied by COLD_TOLD again. The same room to the last rounding; the ramp test passes and so do the module's 62.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -52,9 +52,8 @@
 const COLD_MEMORY: f64 = 4.0;
 /// Share of the multiple that brings a cold replica down which may be used up on the word of the settings alone.
 const COLD_TOLD: f64 = 0.7;
-/// Share of the aim within which a cold replica's answers show that it has room, and how much more it then
-/// gets: its true start lies anywhere above the told one, but all that the settings allow is all there is.
-const COLD_QUICK: (f64, f64) = (0.25, 1.0 / COLD_TOLD);
+/// Share of the aim within which a cold replica's answers show that it has room: it then gets all that is told.
+const COLD_QUICK: f64 = 0.25;
 /// Share of the aim past which a query's slowest part has it refused.
 const REFUSE_AT: f64 = 0.5;
 /// Bounds of the factor by which a query's worth for its parts moves that share.
@@ -683,9 +682,9 @@
         let mixers = f64::from(self.settings.coordinators.max(1));
         let told = self.settings.allowance * self.breadth.unwrap_or(0.0) / mixers / SECOND as f64;
         let answers = replica.answered > 0 && self.now >= replica.full_until;
-        let quick = answers && self.latency(replica) < COLD_QUICK.0 * self.shortest_aim();
+        let quick = answers && self.latency(replica) < COLD_QUICK * self.shortest_aim();
         // More of what is told only: what was answered is used up to the whole multiple already.
-        let told = COLD_TOLD * told * if quick { COLD_QUICK.1 } else { 1.0 };
+        let told = if quick { told } else { COLD_TOLD * told };
         let usual = (self.served.0 / counted).max(told) * span as f64 / ready as f64;
         ((multiple * warmth * usual).max(1.0 / mixers) + replica.turn.1).floor()
     }
