Share the tests' sockets and lists, and force the bytes behind a reply

crossing.rs repeated how sockets.rs starts a mixer, words a query and a list and reads a reply; gone.rs, handover.rs and leaving.rs each listed a wide fleet or looked for calls by themselves. tests/loopback and tests/bed have each once.

--- a/crates/mixer/tests/bed/mod.rs
+++ b/crates/mixer/tests/bed/mod.rs
@@ -120,6 +120,34 @@
         }
     }
 
+    /// One of as many places as shards, each shard held by one server alone.
+    pub fn wide(places: u64, descriptors: usize) -> Bed {
+        let text = SETTINGS.replace("extra.places=1", &format!("extra.places={places}"));
+        let text = text.replace("extra.ranges=8", &format!("extra.ranges={places}"));
+        let mut bed = Bed::unheard(&text.replace("open_cap=60", "open_cap=5000"), 0, descriptors);
+        let entry = |r: u64| {
+            serde_json::json!({"name": format!("s-{r}"), "address": address(r), "zone": "north", "group": r - 1,
+                "status": "up"})
+        };
+        (1..=places).for_each(|r| bed.told(&address(r), "up"));
+        let entries: Vec<_> = (1..=places).map(entry).collect();
+        let list = serde_json::json!({"index": 2, "snapshot": true, "endpoints": entries});
+        bed.put(Input::Listed(serde_json::from_value(list).expect("a list")));
+        bed
+    }
+
+    /// The connections that calls went out on, in order.
+    pub fn calls(&self) -> Vec<LinkId> {
+        let call = |(link, frame): &(LinkId, ToLeaf)| matches!(frame, ToLeaf::Call(_)).then_some(*link);
+        self.frames.iter().filter_map(call).collect()
+    }
+
+    /// The addresses that calls went to, in order; empty where the connection is over.
+    pub fn called(&self) -> Vec<String> {
+        let address = |link| self.links.get(&link).map_or_else(String::new, |it| it.0.clone());
+        self.calls().into_iter().map(address).collect()
+    }
+
     /// One input and the turn after it.
     pub fn put(&mut self, input: Input) {
         let mut effects = self.state.apply(self.now, input);
--- a/crates/mixer/tests/crossing.rs
+++ b/crates/mixer/tests/crossing.rs
@@ -2,21 +2,17 @@
 //! the test, which holds its bytes, its accept or its close until it lets go: no sleep decides.
 
 mod bed;
+mod loopback;
 
 use bed::SETTINGS;
-use cottonhill_mixer::protocol::query::Names;
-use cottonhill_mixer::routing::State;
-use cottonhill_mixer::settings;
-use cottonhill_mixer::transport::{self, Addresses, Clock, Control};
+use cottonhill_mixer::transport::Control;
+use loopback::{list, query, reply, Around};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{sleep, timeout, Duration, Instant};
 
@@ -38,7 +34,7 @@
 /// A mixer, and what the test plays around it.
 struct Stage {
     mixer: SocketAddr,
-    told: mpsc::Sender<Control>,
+    control: mpsc::Sender<Control>,
     leaf: TcpListener,
     answers: Rc<Cell<Answers>>,
     changed: Rc<Notify>,
@@ -49,12 +45,6 @@
     held: Rc<RefCell<Vec<TcpStream>>>,
 }
 
-async fn listener() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    (listener, address)
-}
-
 async fn discovery(listener: TcpListener, leaf: SocketAddr, stage: Rc<Stage>) {
     for index in 1.. {
         let (mut stream, _) = listener.accept().await.unwrap();
@@ -64,13 +54,7 @@
         }
         match stage.answers.get() {
             Answers::List(status) => {
-                let line = format!(
-                    "{{\"index\":{index},\"snapshot\":true,\"endpoints\":[{{\"name\":\"s-1\",\"address\":\"{leaf}\",\
-\"group\":0,\"status\":\"{status}\"}}]}}\n"
-                );
-                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-                let text = format!("{head}{:x}\r\n{line}\r\n", line.len());
-                if stream.write_all(text.as_bytes()).await.is_ok() {
+                if stream.write_all(list(index, leaf, status).as_bytes()).await.is_ok() {
                     stage.watches.borrow_mut().push(stream);
                 }
             }
@@ -84,40 +68,25 @@
     }
 }
 
-/// Plays `test` against a mixer with these settings; on a clock that stands still while anyone has something to do and
-/// else goes on to the next timer, where `paused`.
+/// Plays `test` against a mixer, as `loopback::run` has it.
 fn play<F: Future<Output = ()>>(
     paused: bool, text: &str, answers: Answers, test: impl FnOnce(Rc<Stage>) -> F,
 ) {
-    let mut runtime = tokio::runtime::Builder::new_current_thread();
-    let runtime = runtime.enable_all().start_paused(paused).build().unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, async {
-        let (discovery_at, leaf_at, mixer_at) = (listener().await, listener().await, listener().await);
-        let (site, decisions) = (settings::site(text).unwrap(), settings::parse(text).unwrap());
-        let names = Names {
-            classes: site.classes.clone(),
-            deadlines: site.deadlines.clone(),
-            shards: site.shards,
-            ..Names::default()
-        };
-        let clock = Clock::start();
-        let state = State::new(clock.now(), site, decisions, 7, &Default::default(), 1024);
-        let addresses =
-            Addresses { discovery: discovery_at.1, peer_listen: None, peers: Vec::new(), peers_all: None };
-        let (told, tells) = mpsc::channel(1);
+    loopback::run(paused, text, 1024, |around| async move {
+        // The mixer may come to its end while the test goes on.
+        let Around { mixer, control, discovery: at, leaf, serving: _ } = around;
+        let leaf_at = leaf.local_addr().unwrap();
         let stage = Rc::new(Stage {
-            mixer: mixer_at.1,
-            told,
-            leaf: leaf_at.0,
+            mixer,
+            control,
+            leaf,
             answers: Rc::new(Cell::new(answers)),
             changed: Rc::default(),
             asked: Rc::default(),
             watches: Rc::default(),
             held: Rc::default(),
         });
-        tokio::task::spawn_local(discovery(discovery_at.0, leaf_at.1, stage.clone()));
-        let mixer = transport::serve(state, clock, names, mixer_at.0, addresses, tells, Default::default());
-        tokio::task::spawn_local(mixer);
+        tokio::task::spawn_local(discovery(at, leaf_at, stage.clone()));
         let bound = if paused { 100 * BOUND } else { BOUND };
         timeout(bound, test(stage)).await.expect("in time");
     });
@@ -165,25 +134,6 @@
     }
 }
 
-/// Reads one reply: its head and its body.
-async fn reply(stream: &mut TcpStream) -> (String, String) {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(stream.read_u8().await.expect("a reply"));
-    }
-    let head = String::from_utf8(head).unwrap();
-    let length = head.split("Content-Length: ").nth(1).unwrap().split('\r').next().unwrap();
-    let mut body = vec![0; length.parse().unwrap()];
-    stream.read_exact(&mut body).await.unwrap();
-    (head, String::from_utf8(body).unwrap())
-}
-
-fn query(name: &str, extra: &str) -> String {
-    let body = "{\"shards\":[{\"shard\":3,\"weight\":1.0}],\"q\":\"c41e\"}";
-    let length = body.len();
-    format!("POST /lookup HTTP/1.1\r\nX-Request-ID: {name}\r\n{extra}Content-Length: {length}\r\n\r\n{body}")
-}
-
 /// The next frame at a leaf server: of a call the id of its first part.
 async fn called(stream: &mut TcpStream) -> String {
     loop {
@@ -208,32 +158,19 @@
 fn a_reply_arrives_whole_with_unread_bytes_behind_it() {
     play(false, SETTINGS, Answers::List("up"), |stage| async move {
         stage.ready().await;
-        let std_client = std::net::TcpStream::connect(stage.mixer).unwrap();
-        let mut flood = std_client.try_clone().unwrap();
-        std_client.set_nonblocking(true).unwrap();
-        let mut client = TcpStream::from_std(std_client).unwrap();
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        let mut client = socket.connect(stage.mixer).await.unwrap();
         client.write_all(query("one", "Connection: close\r\n").as_bytes()).await.unwrap();
         let mut leaf = stage.leaf().await;
         assert_eq!(called(&mut leaf).await, "one.3");
         let value = "v".repeat(60_000);
-        // The second request waits its turn, and behind it come more bytes than anyone reads, until the very end.
-        client.write_all(query("two", "").as_bytes()).await.unwrap();
-        let over = Arc::new(AtomicBool::new(false));
-        let until = over.clone();
-        let flood = std::thread::spawn(move || {
-            while !until.load(Ordering::SeqCst) {
-                // Full for now, or closed at the other end.
-                if flood.write(&[b'x'; 65_536]).is_err() {
-                    std::thread::yield_now();
-                }
-            }
-        });
         leaf.write_all(&answered("one.3", &value)).await.unwrap();
-        let mut all = Vec::new();
-        let read = client.read_to_end(&mut all).await;
-        over.store(true, Ordering::SeqCst);
-        flood.join().unwrap();
-        read.expect("an end, not a reset");
+        // The reply has begun and waits for its reader: nothing of this is read before its end.
+        let mut all = vec![0; 12];
+        client.read_exact(&mut all).await.unwrap();
+        client.write_all((query("two", "") + &"x".repeat(1_000)).as_bytes()).await.unwrap();
+        client.read_to_end(&mut all).await.expect("an end, not a reset");
         let all = String::from_utf8(all).unwrap();
         assert!(all.starts_with("HTTP/1.1 200") && all.ends_with("\"}]}"), "{} bytes", all.len());
         assert!(all.contains(&value));
@@ -295,7 +232,7 @@
         reply(&mut idle).await;
         let mut half = stage.client().await;
         half.write_all(&query("half", "").as_bytes()[..40]).await.unwrap();
-        stage.told.send(Control::Terminate).await.unwrap();
+        stage.control.send(Control::Terminate).await.unwrap();
         for client in [&mut idle, &mut half] {
             assert_eq!(client.read(&mut [0]).await.expect("an end, not a reset"), 0);
         }
--- a/crates/mixer/tests/gone.rs
+++ b/crates/mixer/tests/gone.rs
@@ -4,18 +4,13 @@
 mod bed;
 
 use bed::{deployments, Bed, SETTINGS};
-use cottonhill_mixer::protocol::leaf::{End, ToLeaf};
+use cottonhill_mixer::protocol::leaf::End;
 use cottonhill_mixer::protocol::query::Reply;
 use cottonhill_mixer::routing::{ClientId, Input, LinkId};
 
 /// An attempt for a client that has gone may not begin later than this.
 const GONE: u64 = 100;
 
-/// Calls written so far.
-fn calls(bed: &Bed) -> usize {
-    bed.frames.iter().filter(|(_, frame)| matches!(frame, ToLeaf::Call(_))).count()
-}
-
 fn only_link(bed: &Bed) -> LinkId {
     let mut links = bed.links.keys();
     let link = *links.next().expect("a connection");
@@ -37,7 +32,7 @@
         bed.pass(1500);
         bed.open_all();
         bed.pass(1500);
-        assert_eq!(calls(&bed), 0);
+        assert_eq!(bed.calls().len(), 0);
         assert_eq!(bed.state.counters().answered.client_gone, 1);
     }
 }
@@ -51,11 +46,15 @@
         bed.answer_all();
         assert!(bed.reply(served).is_some());
         let client = bed.connect();
-        let before = calls(&bed);
+        let before = bed.calls().len();
         let asked = bed.asked(client, 1, &[1.0]);
         bed.batch([asked, Input::ClientClosed { client }]);
         bed.pass(1000);
-        assert_eq!(calls(&bed), before, "the connection is up and free, and nobody is there to be told");
+        assert_eq!(
+            bed.calls().len(),
+            before,
+            "the connection is up and free, and nobody is there to be told"
+        );
     }
 }
 
@@ -84,15 +83,15 @@
             }
             (false, _) => {
                 bed.put(opened);
-                assert!(calls(&bed) > 0, "the client was there");
+                assert!(!bed.calls().is_empty(), "the client was there");
                 bed.put(gone);
                 continue;
             }
         }
         // In one moment a call that the socket was given before the client was seen to leave is in time.
-        let at_once = calls(&bed);
+        let at_once = bed.calls().len();
         bed.pass(1000);
-        assert_eq!(calls(&bed), at_once, "{first} {apart}");
+        assert_eq!(bed.calls().len(), at_once, "{first} {apart}");
         assert!(!first || at_once == 0, "{first} {apart}: {:?}", bed.frames);
     }
 }
@@ -143,12 +142,12 @@
         // One attempt has failed and the next waits for a connection, as the client leaves.
         bed.answer(link, End::Busy);
         leaves(&mut bed, client);
-        let before = calls(&bed);
+        let before = bed.calls().len();
         bed.pass(GONE);
         bed.open_all();
         bed.pass(1000);
         bed.open_all();
-        assert_eq!(calls(&bed), before);
+        assert_eq!(bed.calls().len(), before);
     }
 }
 
@@ -166,11 +165,11 @@
         bed.open_all();
         let first = only_link(&bed);
         bed.break_off(first);
-        assert_eq!(calls(&bed), 1, "it may have run");
+        assert_eq!(bed.calls().len(), 1, "it may have run");
         assert_eq!(bed.links.len(), 1, "and is asked for again, at a connection that has yet to come up");
         bed.pass(opens_after);
         bed.open_all();
-        assert_eq!(calls(&bed) > 1, goes, "after {opens_after} ms");
+        assert_eq!(bed.calls().len() > 1, goes, "after {opens_after} ms");
         bed.pass(6000);
         assert_eq!(bed.replies[&client].len(), 1, "and its client is told all the same");
     }
@@ -185,7 +184,7 @@
     bed.answer(first, End::Busy);
     bed.pass(150);
     bed.open_all();
-    assert_eq!(calls(&bed), 2, "turned away is not run");
+    assert_eq!(bed.calls().len(), 2, "turned away is not run");
 }
 
 #[test]
@@ -199,7 +198,7 @@
     bed.pass(50);
     bed.open_all();
     let second = only_link(&bed);
-    assert_eq!(calls(&bed), 2);
+    assert_eq!(bed.calls().len(), 2);
     bed.pass(51);
     assert!(!bed.links.contains_key(&second));
 }
@@ -237,19 +236,8 @@
 #[test]
 fn few_descriptors_are_shared_out_so_that_the_rest_keeps_its_own() {
     for descriptors in [64, 100, 187, 1024] {
-        let text = SETTINGS.replace("extra.places=1", "extra.places=512");
-        let text = text.replace("extra.ranges=8", "extra.ranges=512").replace("open_cap=60", "open_cap=5000");
-        let mut bed = Bed::unheard(&text, 0, descriptors);
+        let mut bed = Bed::wide(512, descriptors);
         let clients = bed.state.most_clients();
-        let entries: Vec<_> = (1..=512)
-            .map(|r| {
-                bed.told(&bed::address(r), "up");
-                serde_json::json!({"name": format!("s-{r}"), "address": bed::address(r), "zone": "north",
-                    "group": r - 1, "status": "up"})
-            })
-            .collect();
-        let list = serde_json::json!({"index": 2, "snapshot": true, "endpoints": entries});
-        bed.put(Input::Listed(serde_json::from_value(list).unwrap()));
         let asked: Vec<Input> =
             (1..=512).flat_map(|client| bed.opened_and_asked(client, client as u32 - 1)).collect();
         bed.batch(asked);
--- a/crates/mixer/tests/handover.rs
+++ b/crates/mixer/tests/handover.rs
@@ -3,16 +3,9 @@
 mod bed;
 
 use bed::{address, deployments, Bed, MS};
-use cottonhill_mixer::protocol::leaf::ToLeaf;
 use cottonhill_mixer::protocol::query::Reply;
 use cottonhill_mixer::routing::Input;
 
-/// The servers that calls went to.
-fn called(bed: &Bed) -> Vec<&str> {
-    let call = |(link, frame): &(u64, ToLeaf)| matches!(frame, ToLeaf::Call(_)).then_some(*link);
-    bed.frames.iter().filter_map(call).filter_map(|link| bed.links.get(&link)).map(|l| l.0.as_str()).collect()
-}
-
 fn both<T>(first: T, second: T, swapped: bool) -> [T; 2] {
     if swapped {
         [second, first]
@@ -37,7 +30,7 @@
         }
         let client = bed.ask(1, &[0.5, 0.5]);
         bed.open_all();
-        assert!(called(&bed).iter().all(|at| *at == address(2)), "swapped {swapped}: {:?}", called(&bed));
+        assert!(bed.called().iter().all(|at| *at == address(2)), "swapped {swapped}: {:?}", bed.called());
         bed.answer_all();
         assert!(matches!(bed.reply(client), Some(Reply::Answer { whole: true, .. })));
     }
@@ -58,10 +51,10 @@
         let leaves = bed.change(false, &[(1, status, 0)]);
         bed.batch(both(leaves, Input::LinkOpened { link }, swapped));
         bed.told(&address(1), status);
-        let at_once = bed.frames.iter().filter(|(_, frame)| matches!(frame, ToLeaf::Call(_))).count();
+        let at_once = bed.calls().len();
         assert_eq!(at_once > 0, swapped, "{status}");
         bed.pass(3000);
-        let calls = bed.frames.iter().filter(|(_, frame)| matches!(frame, ToLeaf::Call(_))).count();
+        let calls = bed.calls().len();
         assert_eq!(calls, at_once, "{status}, swapped {swapped}");
         bed.pass(4000);
         assert_eq!(bed.replies[&client].len(), 1);
--- a/crates/mixer/tests/leaving.rs
+++ b/crates/mixer/tests/leaving.rs
@@ -3,7 +3,7 @@
 mod bed;
 
 use bed::{deployments, Bed, GRACE, MS, SETTINGS};
-use cottonhill_mixer::protocol::leaf::{End, ToLeaf};
+use cottonhill_mixer::protocol::leaf::End;
 use cottonhill_mixer::protocol::query::{Asked, Reply};
 use cottonhill_mixer::routing::Input;
 use proptest::prelude::*;
@@ -19,15 +19,6 @@
     matches!(reply, Some(Reply::Answer { whole: true, .. }))
 }
 
-/// The addresses that parts went to, in order.
-fn calls(bed: &Bed) -> Vec<String> {
-    let call = |(link, frame): &(u64, ToLeaf)| {
-        matches!(frame, ToLeaf::Call(_))
-            .then(|| bed.links.get(link).map_or_else(String::new, |l| l.0.clone()))
-    };
-    bed.frames.iter().filter_map(call).collect()
-}
-
 #[test]
 fn a_new_process_sends_nothing_on_an_old_list_before_it_has_heard_what_holds() {
     for text in deployments() {
@@ -39,7 +30,7 @@
         bed.list(1, "draining", 0);
         bed.open_all();
         assert!(ready(&mut bed));
-        assert_eq!(calls(&bed), vec![bed::address(2); 2], "at once, and not to the one that leaves");
+        assert_eq!(bed.called(), vec![bed::address(2); 2], "at once, and not to the one that leaves");
         bed.answer_all();
         assert!(whole(bed.reply(client)));
     }
@@ -137,18 +128,7 @@
 
 #[test]
 fn more_leaf_servers_than_descriptors_can_all_be_asked() {
-    let text = SETTINGS.replace("extra.places=1", "extra.places=1024");
-    let text = text.replace("extra.ranges=8", "extra.ranges=1024").replace("open_cap=60", "open_cap=5000");
-    let mut bed = Bed::unheard(&text, 0, 64);
-    let entries: Vec<_> = (1..=1024)
-        .map(|r| {
-            bed.told(&bed::address(r), "up");
-            serde_json::json!({"name": format!("s-{r}"), "address": bed::address(r), "zone": "north",
-                "group": r - 1, "status": "up"})
-        })
-        .collect();
-    let list = serde_json::json!({"index": 2, "snapshot": true, "endpoints": entries});
-    bed.put(Input::Listed(serde_json::from_value(list).unwrap()));
+    let mut bed = Bed::wide(1024, 64);
     for shard in 0..1024 {
         let client = bed.connect();
         bed.ask_part(client, 1, shard);
--- a/crates/mixer/tests/sockets.rs
+++ b/crates/mixer/tests/sockets.rs
@@ -1,39 +1,25 @@
 //! The whole mixer on real sockets of the loopback, with a leaf server and discovery played by the test.
 
-use cottonhill_mixer::protocol::query::Names;
-use cottonhill_mixer::routing::State;
-use cottonhill_mixer::settings;
-use cottonhill_mixer::transport::{self, Addresses, Clock};
+mod bed;
+mod loopback;
+
+use loopback::{query, reply, Around};
 use std::future::Future;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
 use tokio::time::{sleep, Duration, Instant};
 
-mod bed;
-
 /// Few: a test can fill the room that clients have.
 const DESCRIPTORS: usize = 40;
 
-async fn listener() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    (listener, address)
-}
-
 /// Discovery: ends the first watch without a word, answers each later one with the list and leaves it open.
 async fn discovery(listener: TcpListener, leaf: SocketAddr) {
     let mut open = Vec::new();
     drop(listener.accept().await);
     loop {
         let (mut stream, _) = listener.accept().await.unwrap();
-        let line = format!(
-            "{{\"index\":3,\"snapshot\":true,\"endpoints\":[{{\"name\":\"s-1\",\"address\":\"{leaf}\",\
-\"group\":0,\"status\":\"up\"}}]}}\n"
-        );
-        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-        stream.write_all(format!("{head}{:x}\r\n{line}\r\n", line.len()).as_bytes()).await.unwrap();
+        stream.write_all(loopback::list(3, leaf, "up").as_bytes()).await.unwrap();
         open.push(stream);
     }
 }
@@ -73,58 +59,23 @@
 }
 
 fn run<F: Future<Output = ()>>(paused: bool, text: &str, client: impl FnOnce(SocketAddr) -> F) {
-    let mut runtime = tokio::runtime::Builder::new_current_thread();
-    let runtime = runtime.enable_all().start_paused(paused).build().unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, async {
-        let (discovery_at, leaf_at, mixer_at) = (listener().await, listener().await, listener().await);
-        tokio::task::spawn_local(discovery(discovery_at.0, leaf_at.1));
-        tokio::task::spawn_local(leaf(leaf_at.0));
-        let (site, decisions) = (settings::site(text).unwrap(), settings::parse(text).unwrap());
-        let names = Names {
-            classes: site.classes.clone(),
-            deadlines: site.deadlines.clone(),
-            shards: site.shards,
-            ..Names::default()
-        };
-        let clock = Clock::start();
-        let state = State::new(clock.now(), site, decisions, 7, &Default::default(), DESCRIPTORS);
-        let (peers, discovery) = (Vec::new(), discovery_at.1);
-        let addresses = Addresses { discovery, peer_listen: None, peers, peers_all: None };
-        let (_told, terminate) = mpsc::channel(1);
-        let mixer =
-            transport::serve(state, clock, names, mixer_at.0, addresses, terminate, Default::default());
+    loopback::run(paused, text, DESCRIPTORS, |around| async move {
+        let Around { mixer, serving, control: _control, discovery: at, leaf: leaf_at } = around;
+        tokio::task::spawn_local(discovery(at, leaf_at.local_addr().unwrap()));
+        tokio::task::spawn_local(leaf(leaf_at));
         tokio::select! {
-            ended = mixer => panic!("the mixer ended: {ended:?}"),
-            () = client(mixer_at.1) => {}
+            ended = serving => panic!("the mixer ended: {ended:?}"),
+            () = client(mixer) => {}
         }
     });
 }
 
-/// Reads one answer: its head and its body.
-async fn answer(stream: &mut TcpStream) -> (String, String) {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(stream.read_u8().await.expect("an answer"));
-    }
-    let head = String::from_utf8(head).unwrap();
-    let length = head.split("Content-Length: ").nth(1).unwrap().split('\r').next().unwrap();
-    let mut body = vec![0; length.parse().unwrap()];
-    stream.read_exact(&mut body).await.unwrap();
-    (head, String::from_utf8(body).unwrap())
-}
-
-fn query(name: &str, extra: &str) -> String {
-    let body = "{\"shards\":[{\"shard\":3,\"weight\":1.0}],\"q\":\"c41e\"}";
-    let length = body.len();
-    format!("POST /lookup HTTP/1.1\r\nX-Request-ID: {name}\r\n{extra}Content-Length: {length}\r\n\r\n{body}")
-}
-
 /// Waits until the mixer holds a list; a clock that stands still has to be moved on for that.
 async fn ready(at: SocketAddr, on: Duration) {
     loop {
         let mut stream = TcpStream::connect(at).await.unwrap();
         stream.write_all(b"GET /-/ready HTTP/1.1\r\n\r\n").await.unwrap();
-        if answer(&mut stream).await.0.starts_with("HTTP/1.1 200") {
+        if reply(&mut stream).await.0.starts_with("HTTP/1.1 200") {
             return;
         }
         tokio::task::yield_now().await;
@@ -143,12 +94,12 @@
             tokio::task::yield_now().await;
         }
         let whole = "{\"complete\":true,\"hits\":[{\"shard\":3,\"doc\":\"NAME.3\"}]}";
-        assert_eq!(answer(&mut stream).await.1, whole.replace("NAME", "a1"));
+        assert_eq!(reply(&mut stream).await.1, whole.replace("NAME", "a1"));
         // The next two arrive together: each still gets its own answer, in order.
         let both = query("a2", "") + &query("a3", "Connection: close\r\n");
         stream.write_all(both.as_bytes()).await.unwrap();
-        assert_eq!(answer(&mut stream).await.1, whole.replace("NAME", "a2"));
-        assert_eq!(answer(&mut stream).await.1, whole.replace("NAME", "a3"));
+        assert_eq!(reply(&mut stream).await.1, whole.replace("NAME", "a2"));
+        assert_eq!(reply(&mut stream).await.1, whole.replace("NAME", "a3"));
         assert_eq!(stream.read(&mut [0]).await.unwrap(), 0, "closed, as asked");
     });
 }
@@ -160,7 +111,7 @@
         let head = "POST /lookup HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n";
         let body = "x".repeat(1_000_000);
         stream.write_all((head.to_string() + &body).as_bytes()).await.unwrap();
-        assert!(answer(&mut stream).await.0.starts_with("HTTP/1.1 413"));
+        assert!(reply(&mut stream).await.0.starts_with("HTTP/1.1 413"));
     });
 }
 
@@ -170,13 +121,13 @@
         ready(at, Duration::ZERO).await;
         let mut stream = TcpStream::connect(at).await.unwrap();
         stream.write_all(b"\0\0\0 what is this\r\n\r\n").await.unwrap();
-        assert!(answer(&mut stream).await.0.starts_with("HTTP/1.1 400"));
+        assert!(reply(&mut stream).await.0.starts_with("HTTP/1.1 400"));
         assert_eq!(stream.read(&mut [0]).await.unwrap(), 0);
         let mut stream = TcpStream::connect(at).await.unwrap();
         stream.write_all(query("b1", "").as_bytes()).await.unwrap();
-        assert!(answer(&mut stream).await.0.starts_with("HTTP/1.1 200"));
+        assert!(reply(&mut stream).await.0.starts_with("HTTP/1.1 200"));
         stream.write_all(b"GET /-/stats HTTP/1.1\r\n\r\n").await.unwrap();
-        let stats: serde_json::Value = serde_json::from_str(&answer(&mut stream).await.1).unwrap();
+        let stats: serde_json::Value = serde_json::from_str(&reply(&mut stream).await.1).unwrap();
         assert_eq!((&stats["taken"]["queries"], &stats["taken"]["rejected"]), (&1.into(), &1.into()));
     });
 }
@@ -193,7 +144,7 @@
         let begun = Instant::now();
         let mut stream = TcpStream::connect(at).await.unwrap();
         stream.write_all(query("slow", "").as_bytes()).await.unwrap();
-        assert!(answer(&mut stream).await.0.starts_with("HTTP/1.1 200"));
+        assert!(reply(&mut stream).await.0.starts_with("HTTP/1.1 200"));
         let (mut reading, mut writing) = stream.into_split();
         let slow = async {
             for byte in b"POST /lookup HTTP/1.1\r\nContent-Length: 900\r\n\r\n".iter().chain(&[b'{'; 900]) {
@@ -227,7 +178,7 @@
         }
         let mut stream = TcpStream::connect(at).await.unwrap();
         stream.write_all(query("good", "").as_bytes()).await.unwrap();
-        assert!(answer(&mut stream).await.0.starts_with("HTTP/1.1 200"));
+        assert!(reply(&mut stream).await.0.starts_with("HTTP/1.1 200"));
         assert!(begun.elapsed().as_millis() < 1000, "{:?}", begun.elapsed());
     });
 }
@@ -239,7 +190,7 @@
         let begun = Instant::now();
         let mut stream = TcpStream::connect(at).await.unwrap();
         stream.write_all(query("cut1", "").as_bytes()).await.unwrap();
-        let found = answer(&mut stream).await;
+        let found = reply(&mut stream).await;
         assert!(found.1.contains("\"doc\":\"cut1.3\""), "{found:?}");
         assert!(begun.elapsed().as_millis() < 300, "{:?}", begun.elapsed());
     });
