Count open parts as they come and go, not by a walk for each query

Cause: take_query counted the parts that no value has come for by a walk over all open parts, so the cost of a query grew with the queries open (35,328 parts at 512 queries of 69). Change: the reducer keeps the count; a part leaves it with its first value or with its query. Result: the cap refuses as before (the tests at the cap are unchanged; a new one counts queries that were answered, left with no, one and two values, and fails when the count at a query's end is left out). Its share of a query's cost shows only once the decisions do not tend all open queries in each batch.

--- a/crates/mixer/src/routing/state/clients.rs
+++ b/crates/mixer/src/routing/state/clients.rs
@@ -76,7 +76,7 @@
             return self.asked(now, client, arrived, Err(rejection));
         }
         // A part that is in is not open any more: counting it would refuse queries that there is room for.
-        let open_parts = self.parts.values().filter(|part| part.value.is_none()).count();
+        let open_parts = self.open_parts;
         if self.queries.len() + open_parts >= self.site.open_cap {
             self.counters.taken.over_cap += 1;
             tracing::info!(queries = self.queries.len(), open_parts, "over the cap: query refused");
@@ -122,6 +122,7 @@
             let text = asked.text.clone();
             let new = Part { query: id, shard, weight, wire, text, ..Part::default() };
             self.parts.insert(part_id, new);
+            self.open_parts += 1;
             self.events.push(Event::Part { id: part_id, group, shard, weight });
             parts.push(part_id);
         }
@@ -188,7 +189,8 @@
         self.alarms.remove(&(query.deadline, Alarm::LastMoment(id)));
         self.names.remove(&query.name);
         self.note_over(id, query.arrived);
-        let parts = query.parts.iter().filter_map(|part| self.parts.remove(part)).collect();
+        let parts: Vec<Part> = query.parts.iter().filter_map(|part| self.parts.remove(part)).collect();
+        self.open_parts -= parts.iter().filter(|part| part.value.is_none()).count();
         Some((query, parts))
     }
 }
--- a/crates/mixer/src/routing/state/links.rs
+++ b/crates/mixer/src/routing/state/links.rs
@@ -123,9 +123,8 @@
                     End::Err => Outcome::Error,
                     End::Busy => Outcome::Refused,
                 };
-                if let Some(part) = self.parts.get_mut(&attempt.0).filter(|_| outcome == Outcome::Ok) {
-                    // Checked to be text by the codec, so nothing is lost here.
-                    part.value.get_or_insert_with(|| String::from_utf8_lossy(&value).into_owned());
+                if outcome == Outcome::Ok {
+                    self.keep_value(attempt.0, &value);
                 }
                 let report = self.report(&report);
                 self.ended(attempt, outcome, report);
@@ -140,6 +139,14 @@
         }
     }
 
+    /// Keeps the first value that comes for a part.
+    fn keep_value(&mut self, part: RequestId, value: &[u8]) {
+        let Some(part) = self.parts.get_mut(&part).filter(|part| part.value.is_none()) else { return };
+        // Checked to be text by the codec, so nothing is lost here.
+        part.value = Some(String::from_utf8_lossy(value).into_owned());
+        self.open_parts -= 1;
+    }
+
     /// A leaf server sent what can't be read. It is alive and ran what it answered: that attempt has
     /// failed. The others out there wait for what will never come, so they are withdrawn with the
     /// connection, at once.
--- a/crates/mixer/src/routing/state/mod.rs
+++ b/crates/mixer/src/routing/state/mod.rs
@@ -148,6 +148,8 @@
     clients: BTreeMap<ClientId, Client>,
     queries: BTreeMap<RequestId, Query>,
     parts: BTreeMap<RequestId, Part>,
+    /// Of the parts, those that no value has come for.
+    open_parts: usize,
     /// Of the open queries.
     names: BTreeSet<Rc<str>>,
     attempts: BTreeMap<AttemptId, Attempt>,
@@ -229,6 +231,7 @@
             clients: BTreeMap::new(),
             queries: BTreeMap::new(),
             parts: BTreeMap::new(),
+            open_parts: 0,
             names: BTreeSet::new(),
             attempts: BTreeMap::new(),
             probes: BTreeMap::new(),
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -176,6 +176,30 @@
     assert!(refused(bed.reply(client)));
 }
 
+#[test]
+fn queries_that_ended_in_any_way_leave_all_their_room_under_the_cap() {
+    let mut bed = Bed::new(3);
+    let answered = bed.ask(1, &[0.2; 5]);
+    bed.open_all();
+    bed.answer_all();
+    assert!(matches!(bed.reply(answered), Some(Reply::Answer { whole: true, .. })));
+    for values in 0..3 {
+        let gone = bed.ask(1, &[0.2; 5]);
+        bed.open_all();
+        let link = *bed.out.iter().find(|(_, out)| out.len() >= values).expect("parts are out").0;
+        (0..values).for_each(|_| bed.answer(link, End::Ok));
+        bed.left.insert(gone);
+        bed.put(Input::ClientClosed { client: gone });
+    }
+    let clients: Vec<u64> = (0..12).map(|_| bed.ask(1, &[0.2; 5])).collect();
+    let at_once: Vec<bool> = clients.iter().map(|client| refused(bed.reply(*client))).collect();
+    assert_eq!(
+        at_once,
+        [[false; 10].as_slice(), &[true; 2]].concat(),
+        "ten queries of five parts fill the cap of 60"
+    );
+}
+
 #[test]
 fn what_is_given_up_is_refused_at_once_with_advice() {
     let mut bed = Bed::new(1);
