Find replicas by shard in a table, and keep its counts as entries change

The decisions walked all replicas for each part, several times, for each look at a cold server's room, and for each change of the list, so that a query cost in proportion to the fleet.

Replicas are now kept in a table of their own, which decides nothing: by id and by cell, with counts of the ready and of the suspected ones, and a queue of those that may be forgotten. What was learned in traffic is kept apart from what the list says, from the first contact on. Bad ones of the judged parts are counted as they come and go; the budget is read by binary search in its two sorted queues; the shortest aim is worked out once.

Tests: the table against a plain walk over random lists, sends, ends and suspicions; a batch visits as many replicas at 30,000 as at 300.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -4,6 +4,8 @@
 //! no thread and nothing global: the same settings, seed and events give the same actions.
 
 use crate::interface::*;
+use crate::judged_parts::JudgedParts;
+use crate::replica_table::{Connection, OpenParts, Replica, ReplicaTable, Slot, Traffic};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // ---- Tuned constants ----------------------------------------------------------------------------------
@@ -82,41 +84,9 @@
 /// Aims by which an answer from another zone counts as later, times the told price of crossing: the price
 /// is the same at any load, so it weighs most where time is plenty.
 const FAR: f64 = 4.0;
-/// Kinds of connection that an attempt goes out on.
-const IN_USE: usize = 0;
-const UNUSED: usize = 1;
-const RENEWED: usize = 2;
 
 // ---- State --------------------------------------------------------------------------------------------
 
-#[derive(Debug, Default)]
-struct Replica {
-    cell: u16,
-    zone: u16,
-    started: Nanos,
-    standing: Standing,
-    /// Smoothed latency in ns (none while unheard), when it last changed, and the last sign of life.
-    latency: Option<f64>,
-    learned: Nanos,
-    heard: Nanos,
-    /// Smoothed time between two answers to us while it had work of ours, and when the last one came.
-    pace: Option<f64>,
-    answered: Nanos,
-    /// What connection the last send had, and those of the attempts lost since it was last heard.
-    connection: usize,
-    lost: Vec<usize>,
-    /// Calls of ours still out: when sent, and how many of its parts are still out.
-    calls: BTreeMap<Nanos, u32>,
-    /// Times in a row that it swallowed work, whether it was heard since, and until when it rests.
-    strikes: u32,
-    suspected: bool,
-    rests_until: Nanos,
-    full_until: Nanos,
-    sends: VecDeque<Nanos>,
-    /// While it is cold: since when it has its turn, and how much that adds to its room.
-    turn: (Nanos, f64),
-}
-
 #[derive(Clone, Debug, Default)]
 struct Attempt {
     replica: ReplicaId,
@@ -160,22 +130,23 @@
 #[derive(Debug, Default)]
 pub struct Coordinator {
     settings: Settings,
+    shortest_aim: ShortestAim,
     seed: u64,
     random: u64,
     now: Nanos,
-    replicas: BTreeMap<ReplicaId, Replica>,
+    replicas: ReplicaTable,
     queries: BTreeMap<RequestId, Query>,
     groups: BTreeMap<u32, RequestId>,
     owner: BTreeMap<RequestId, RequestId>,
     /// Attempts out: where, since when, and on what kind of connection.
-    flights: BTreeMap<(RequestId, u8), (ReplicaId, Nanos, usize)>,
+    flights: BTreeMap<(RequestId, u8), (ReplicaId, Nanos, Connection)>,
     /// Share of attempts lost by kind of connection; when renewing may be tried, and until when it lasts.
     losses: [f64; 3],
     renew: (Nanos, Nanos),
     /// Share of second copies whose first attempt landed before them.
     races_lost: f64,
     /// Parts of the last second: when each was judged and whether it was late or refused.
-    judged: VecDeque<(Nanos, bool)>,
+    judged: JudgedParts,
     /// Share of the queries that is kept out since their parts would be turned away wherever they go.
     kept_out: f64,
     cutoff: f64,
@@ -204,6 +175,16 @@
     asks_failed: u32,
 }
 
+/// The shortest aim of all classes, ns.
+#[derive(Debug)]
+struct ShortestAim(f64);
+
+impl Default for ShortestAim {
+    fn default() -> Self {
+        ShortestAim(SECOND as f64)
+    }
+}
+
 fn by_weight(query: &Query) -> Vec<usize> {
     let mut order: Vec<usize> = (0..query.parts.len()).collect();
     order.sort_by(|a, b| query.parts[*a].weight.total_cmp(&query.parts[*b].weight));
@@ -216,6 +197,8 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         Coordinator {
             ask_at: settings.list_on_request.then_some(0),
+            replicas: ReplicaTable::new(settings.cells, settings.reach),
+            shortest_aim: ShortestAim(settings.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND) as f64),
             settings,
             seed,
             random: seed,
@@ -229,6 +212,11 @@
         open + self.taken.len() + self.patience.len() + self.replicas.len()
     }
 
+    /// How many replicas were looked at so far: a count for tests of scale.
+    pub fn replicas_visited(&self) -> u64 {
+        self.replicas.visited()
+    }
+
     /// Takes what happened at `now`, in order, and appends what to do about it to `actions`.
     pub fn handle(&mut self, now: Nanos, events: &[Event], actions: &mut Vec<Action>) {
         self.now = now;
@@ -280,7 +268,7 @@
             Event::Began { replica, .. } => self.hear(*replica),
             Event::Probed { replica, outcome, latency, .. } => match outcome {
                 Outcome::TimedOut | Outcome::Unreachable | Outcome::Broken => {
-                    self.learn(*replica, self.now.saturating_sub(*latency), IN_USE, *outcome);
+                    self.learn(*replica, self.now.saturating_sub(*latency), Connection::InUse, *outcome);
                 }
                 Outcome::Ok => self.hear(*replica),
                 _ => {}
@@ -294,28 +282,8 @@
             return self.ask_later();
         }
         self.asks_failed = if kind == ListKind::Remembered { self.asks_failed } else { 0 };
-        if kind != ListKind::Changes {
-            let listed: BTreeSet<ReplicaId> = members.iter().map(|m| m.replica).collect();
-            for (id, replica) in &mut self.replicas {
-                if !listed.contains(id) {
-                    replica.standing = Standing::Gone;
-                }
-            }
-        }
-        for member in members {
-            let new = Replica { started: member.started, ..Replica::default() };
-            let replica = self.replicas.entry(member.replica).or_insert(new);
-            (replica.cell, replica.zone, replica.standing) = (member.cell, member.zone, member.standing);
-            if member.standing == Standing::Ready && replica.started != member.started {
-                replica.started = member.started;
-                (replica.latency, replica.pace, replica.answered) = (None, None, 0);
-                (replica.strikes, replica.suspected) = (0, false);
-            }
-        }
-        // One that is gone is forgotten with what was learned of it, or new names would add up for good.
-        let faded = self.now.saturating_sub((FADE_AIMS * self.shortest_aim()) as Nanos);
-        let needed = |r: &Replica| r.standing != Standing::Gone || !r.calls.is_empty();
-        self.replicas.retain(|_, r| needed(r) || r.learned > faded);
+        self.replicas.list(members, kind != ListKind::Changes);
+        self.replicas.forget_gone(self.now.saturating_sub((FADE_AIMS * self.shortest_aim()) as Nanos));
     }
 
     /// The list is one service for all: those that fail and ask again at once keep it so busy that most never
@@ -385,7 +353,7 @@
         let Some((replica, sent, connection)) = self.flights.remove(&(part, number)) else { return };
         // A failed connection is lost capacity where the replica was heard lately or attempts are rationed;
         // elsewhere it may just be slow to greet, and light parts dropped for that help nobody.
-        let known = self.replicas.get(&replica).is_some_and(|r| self.news_age(r.heard) < 1.0);
+        let known = self.replicas.get(replica).is_some_and(|r| self.news_age(r.traffic().heard) < 1.0);
         let pressing = known || self.settings.budget.is_some();
         self.learn(replica, sent, connection, outcome);
         let Some(owner) = self.owner.get(&part) else { return };
@@ -404,7 +372,7 @@
         let bad = outcome == Outcome::Refused || outcome == Outcome::Unreachable && pressing;
         if (part.landed || bad) && !part.counted {
             part.counted = true;
-            self.judged.push_back((self.now, bad));
+            self.judged.push(self.now, bad);
         }
         if outcome == Outcome::Refused && number > 0 {
             self.keep_out(LET_IN.0);
@@ -423,9 +391,7 @@
     fn forget_old(&mut self) {
         let span = self.settings.budget.as_ref().map_or(0, |b| b.span).max(2 * SECOND);
         let (window, span) = (self.now.saturating_sub(SECOND), self.now.saturating_sub(span));
-        while self.judged.front().is_some_and(|(at, _)| *at < window) {
-            self.judged.pop_front();
-        }
+        self.judged.forget_before(window);
         for kept in [&mut self.taken, &mut self.extras] {
             while kept.front().is_some_and(|at| *at < span) {
                 kept.pop_front();
@@ -438,7 +404,7 @@
     }
 
     fn shortest_aim(&self) -> f64 {
-        self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND) as f64
+        self.shortest_aim.0
     }
 
     // ---- Admission ----------------------------------------------------------------------------------------
@@ -520,18 +486,20 @@
 
     /// When one more part should be back: ours out there at the pace of its answers, just sent ones included.
     fn expected(&self, replica: &Replica) -> f64 {
-        let out: u32 = replica.calls.values().sum();
-        if self.now < replica.full_until {
+        let traffic = replica.traffic();
+        let out: u32 = traffic.open().iter().map(|open| open.parts).sum();
+        if self.now < traffic.full_until {
             return f64::INFINITY;
         }
-        let quiet = self.now.saturating_sub(replica.answered) as f64 / self.shortest_aim();
-        let queued = replica.pace.unwrap_or(0.0) * f64::from(out + 1) * (-quiet).exp();
+        let quiet = self.now.saturating_sub(traffic.answered) as f64 / self.shortest_aim();
+        let queued = traffic.pace.unwrap_or(0.0) * f64::from(out + 1) * (-quiet).exp();
         queued.max(self.oldest_age(replica) as f64)
     }
 
     fn best_latency(&self, part: &Part) -> f64 {
-        let holders = self.holders(part.shard).filter(|(_, r)| r.standing == Standing::Ready);
-        holders.map(|(_, r)| self.expected(r)).fold(f64::INFINITY, f64::min)
+        let holders = self.replicas.holders(part.shard);
+        let ready = holders.iter().map(|slot| self.replicas.at(*slot)).filter(|r| r.is_ready());
+        ready.map(|r| self.expected(r)).fold(f64::INFINITY, f64::min)
     }
 
     fn steps_of(&self, query: &Query) -> u64 {
@@ -560,9 +528,8 @@
     }
 
     fn move_cutoff(&mut self) {
-        let bad = self.judged.iter().filter(|(_, bad)| *bad).count();
-        let pressure =
-            self.judged.len() >= PRESSURE_LEAST && bad as f64 > PRESSURE_SHARE * self.judged.len() as f64;
+        let (bad, judged) = (self.judged.bad(), self.judged.len());
+        let pressure = judged >= PRESSURE_LEAST && bad as f64 > PRESSURE_SHARE * judged as f64;
         if pressure {
             self.last_pressure = self.now;
         }
@@ -585,34 +552,30 @@
 
     // ---- Replica choice -----------------------------------------------------------------------------------
 
-    fn holders(&self, shard: u32) -> impl Iterator<Item = (ReplicaId, &Replica)> {
-        let (cells, reach) = (self.settings.cells.max(1), self.settings.reach);
-        let held = move |cell: u16| (cell as u32 + cells - shard % cells) % cells < reach;
-        self.replicas.iter().filter(move |(_, r)| held(r.cell)).map(|(id, r)| (*id, r))
-    }
-
     /// The design's choice: least smoothed latency times own open calls plus one. Suspects come after all
     /// others, and replicas that this part has tried come after those that it has not.
-    fn choose(&mut self, part: &Part) -> Option<ReplicaId> {
+    fn choose(&mut self, part: &Part) -> Option<Slot> {
         self.take_turns(part.shard);
-        let mut best: Option<((u32, f64, bool, u32), ReplicaId)> = None;
+        let mut best: Option<((u32, f64, bool, u32), Slot)> = None;
         let mut random = fastrand::Rng::with_seed(self.random);
-        for (id, replica) in self.holders(part.shard) {
+        for slot in self.replicas.holders(part.shard).iter() {
+            let replica = self.replicas.at(*slot);
+            let id = replica.id();
             if !self.may_send(replica) || part.attempts.iter().any(|a| a.out && a.replica == id) {
                 continue;
             }
             let tried = part.attempts.iter().any(|a| a.replica == id) as u32;
             let rank = 2 * self.suspect(replica) as u32 + tried;
-            let price = self.settings.zone_price * f64::from(u8::from(replica.zone != self.settings.zone));
+            let price = self.settings.zone_price * f64::from(u8::from(replica.zone() != self.settings.zone));
             let queue = self.latency(replica) * f64::from(self.open_calls(replica) + 1);
             let score = queue + FAR * price * self.shortest_aim();
-            let key = (rank, score, !replica.calls.contains_key(&self.now), random.u32(..));
+            let key = (rank, score, !self.sent_to_now(replica), random.u32(..));
             if best.is_none_or(|(least, _)| key < least) {
-                best = Some((key, id));
+                best = Some((key, *slot));
             }
         }
         self.random = random.get_seed();
-        best.map(|(_, id)| id)
+        best.map(|(_, slot)| slot)
     }
 
     /// Smoothed latency: the average while unheard, fading to it in silence, and never under the age of the
@@ -623,7 +586,8 @@
 
     fn smoothed(&self, replica: &Replica) -> f64 {
         let mean = self.mean.unwrap_or(FIRST_LATENCY * self.shortest_aim());
-        replica.latency.map_or(mean, |own| mean + (own - mean) * (-self.news_age(replica.learned)).exp())
+        let traffic = replica.traffic();
+        traffic.latency.map_or(mean, |own| mean + (own - mean) * (-self.news_age(traffic.learned)).exp())
     }
 
     fn news_age(&self, at: Nanos) -> f64 {
@@ -631,35 +595,45 @@
     }
 
     fn oldest_age(&self, replica: &Replica) -> Nanos {
-        replica.calls.first_key_value().map_or(0, |(sent, _)| self.now - (*sent).max(replica.heard))
+        let traffic = replica.traffic();
+        traffic.open().first().map_or(0, |open| self.now - open.sent.max(traffic.heard))
+    }
+
+    fn sent_to_now(&self, replica: &Replica) -> bool {
+        replica.traffic().open().last().is_some_and(|open| open.sent == self.now)
     }
 
     /// Calls of ours still out at it; one opened this turn that has room for one more part is not counted.
     fn open_calls(&self, replica: &Replica) -> u32 {
         let room = self.settings.call_parts.unwrap_or(1).max(1);
-        let full =
-            |sent: Nanos, parts: u32| if sent == self.now { parts / room } else { parts.div_ceil(room) };
-        replica.calls.iter().map(|(sent, parts)| full(*sent, *parts)).sum()
+        let full = |open: &OpenParts| {
+            if open.sent == self.now {
+                open.parts / room
+            } else {
+                open.parts.div_ceil(room)
+            }
+        };
+        replica.traffic().open().iter().map(full).sum()
     }
 
     /// Drains and cold replicas: whether the rules leave room for one more part there.
     fn may_send(&self, replica: &Replica) -> bool {
         let since = self.now.saturating_sub(self.settings.fall_time);
-        let recent = replica.sends.iter().filter(|at| **at >= since).count();
-        replica.standing == Standing::Ready && (recent as f64) < self.cold_room(replica)
+        let recent = replica.traffic().sends.iter().filter(|at| **at >= since).count();
+        replica.is_ready() && (recent as f64) < self.cold_room(replica)
     }
 
     /// Turns at cold holders come no closer than the time in which they fall, from when there is work for them: were
     /// they all to end at one moment, those of this one and of the next would meet in one such time.
     fn take_turns(&mut self, shard: u32) {
-        let (span, now, seed) = (self.settings.fall_time.max(1), self.now, self.seed);
-        let cold = |r: &Replica| r.started > 0 && now.saturating_sub(r.started) < self.settings.cold_time;
-        let due = |r: &Replica| cold(r) && now >= r.turn.0 + span;
-        let due: Vec<ReplicaId> = self.holders(shard).filter(|(_, r)| due(r)).map(|(id, _)| id).collect();
-        for id in due {
-            let Some(replica) = self.replicas.get_mut(&id) else { continue };
-            let seed = seed ^ replica.started ^ now.rotate_left(32);
-            replica.turn = (now, fastrand::Rng::with_seed(seed).f64());
+        let (span, now, cold_time) = (self.settings.fall_time.max(1), self.now, self.settings.cold_time);
+        let cold = |r: &Replica| r.started() > 0 && now.saturating_sub(r.started()) < cold_time;
+        let due = |r: &Replica| cold(r) && now >= r.traffic().turn.0 + span;
+        let holders = self.replicas.holders(shard);
+        let due: Vec<Slot> = holders.iter().copied().filter(|slot| due(self.replicas.at(*slot))).collect();
+        for slot in due {
+            let seed = self.seed ^ self.replicas.at(slot).started() ^ now.rotate_left(32);
+            self.replicas.traffic_mut(slot).turn = (now, fastrand::Rng::with_seed(seed).f64());
         }
     }
 
@@ -669,24 +643,25 @@
     fn cold_room(&self, replica: &Replica) -> f64 {
         let told = self.settings.cold_from.zip(self.settings.fall_multiple);
         let Some((from, multiple)) = told else { return f64::INFINITY };
-        let age = self.now.saturating_sub(replica.started);
-        if replica.started == 0 || age >= self.settings.cold_time {
+        let traffic = replica.traffic();
+        let age = self.now.saturating_sub(replica.started());
+        if replica.started() == 0 || age >= self.settings.cold_time {
             return f64::INFINITY;
         }
         let span = self.settings.fall_time.max(1);
         // The sends of a whole such time count, and it bore less at the beginning of that.
         let warmth =
             from + (1.0 - from) * age.saturating_sub(span / 2) as f64 / self.settings.cold_time as f64;
-        let ready = self.replicas.values().filter(|r| r.standing == Standing::Ready).count().max(1);
+        let ready = self.replicas.ready().max(1);
         let counted = self.memory().min((self.now - self.born).max(self.settings.cold_time) as f64);
         let mixers = f64::from(self.settings.coordinators.max(1));
         let told = self.settings.allowance * self.breadth.unwrap_or(0.0) / mixers / SECOND as f64;
-        let answers = replica.answered > 0 && self.now >= replica.full_until;
+        let answers = traffic.answered > 0 && self.now >= traffic.full_until;
         let quick = answers && self.latency(replica) < COLD_QUICK * self.shortest_aim();
         // More of what is told only: what was answered is used up to the whole multiple already.
         let told = if quick { told } else { COLD_TOLD * told };
         let usual = (self.served.0 / counted).max(told) * span as f64 / ready as f64;
-        ((multiple * warmth * usual).max(1.0 / mixers) + replica.turn.1).floor()
+        ((multiple * warmth * usual).max(1.0 / mixers) + traffic.turn.1).floor()
     }
 
     fn memory(&self) -> f64 {
@@ -703,21 +678,21 @@
         if until <= self.now || !self.may_try(part, query.class) {
             return false;
         }
-        let Some(id) = self.choose(part) else { return false };
+        let Some(slot) = self.choose(part) else { return false };
+        let id = self.replicas.at(slot).id();
         let number = part.attempts.len() as u8;
         if number > 0 {
             self.extras.push_back(self.now);
         }
         part.attempts.push(Attempt { replica: id, sent: self.now, out: true, ..Attempt::default() });
-        let connection = self.connection(id, actions);
+        let connection = self.connection(slot, actions);
         self.flights.insert((part.id, number), (id, self.now, connection));
         let window = self.now.saturating_sub(self.settings.fall_time);
-        if let Some(replica) = self.replicas.get_mut(&id) {
-            *replica.calls.entry(self.now).or_insert(0) += 1;
-            replica.sends.push_back(self.now);
-            while replica.sends.front().is_some_and(|at| *at < window) {
-                replica.sends.pop_front();
-            }
+        self.replicas.open_part(slot, self.now);
+        let sends = &mut self.replicas.traffic_mut(slot).sends;
+        sends.push_back(self.now);
+        while sends.front().is_some_and(|at| *at < window) {
+            sends.pop_front();
         }
         actions.push(Action::Send { part: part.id, replica: id, until });
         true
@@ -725,33 +700,41 @@
 
     /// On what connection a send goes out. Something on the way may drop a long unused one unseen: while that
     /// shows, it is closed first, so that a new one is opened.
-    fn connection(&mut self, id: ReplicaId, actions: &mut Vec<Action>) -> usize {
+    fn connection(&mut self, slot: Slot, actions: &mut Vec<Action>) -> Connection {
         let long = (STALE * self.settings.idle_time as f64) as Nanos;
-        let Some(replica) = self.replicas.get_mut(&id).filter(|_| long > 0) else { return IN_USE };
-        if !replica.calls.contains_key(&self.now) {
-            let unused = replica.calls.is_empty() && replica.heard > 0 && self.now - replica.heard > long;
-            replica.connection = if unused { UNUSED } else { IN_USE };
+        if long == 0 {
+            return Connection::InUse;
+        }
+        let replica = self.replicas.at(slot);
+        let (id, sent_to_now) = (replica.id(), self.sent_to_now(replica));
+        let traffic = self.replicas.traffic_mut(slot);
+        if !sent_to_now {
+            let unused = traffic.open().is_empty() && traffic.heard > 0 && self.now - traffic.heard > long;
+            traffic.connection = if unused { Connection::Unused } else { Connection::InUse };
             if unused && self.now < self.renew.1 {
-                replica.connection = RENEWED;
+                traffic.connection = Connection::Renewed;
                 actions.push(Action::CloseIdle { replica: id });
             }
         }
-        replica.connection
+        traffic.connection
     }
 
     /// Where many attempts are lost on unused connections and few on used ones, renewing is tried; where it
     /// does not help, since all are lost alike (hang, cut or slow link), it ends, and is left for as long. A
     /// loss counts once the replica is heard again: until then it may be dead.
-    fn count(&mut self, connection: usize, lost: bool) {
-        let share = &mut self.losses[connection];
+    fn count(&mut self, connection: Connection, lost: bool) {
+        let share = &mut self.losses[connection as usize];
         *share += LOSS.0 * (f64::from(u8::from(lost)) - *share);
         let [used, unused, renewed] = self.losses;
         let (now, span) = (self.now, (RENEW_AIMS * self.shortest_aim()) as Nanos);
         if now < self.renew.1 && renewed > LOSS.1.max(LOSS.2 * unused) {
             self.renew = (now + span, 0);
-        } else if connection == UNUSED && unused > LOSS.1.max(used / LOSS.2) && now >= self.renew.0 {
+        } else if connection == Connection::Unused
+            && unused > LOSS.1.max(used / LOSS.2)
+            && now >= self.renew.0
+        {
             self.notes.push("unused connections are lost: they are renewed".into());
-            (self.renew, self.losses[RENEWED]) = ((now + span, now + span), 0.0);
+            (self.renew, self.losses[Connection::Renewed as usize]) = ((now + span, now + span), 0.0);
         }
     }
 
@@ -777,8 +760,8 @@
     fn budget_left(&self, class: usize, at: Nanos) -> bool {
         let Some(budget) = &self.settings.budget else { return true };
         let since = at.saturating_sub(budget.span);
-        let used = self.extras.iter().filter(|at| **at >= since).count() as f64;
-        let taken = self.taken.iter().filter(|at| **at > since).count() as f64;
+        let used = (self.extras.len() - self.extras.partition_point(|at| *at < since)) as f64;
+        let taken = (self.taken.len() - self.taken.partition_point(|at| *at <= since)) as f64;
         let class = &self.settings.classes[class];
         let part = if class.floor < class.need { BUDGET_PARTIAL } else { 1.0 };
         used + 1.0 <= part * (budget.floor + budget.share * taken)
@@ -816,21 +799,21 @@
             }
             if !part.counted && (self.now - query.step_began) as f64 > late {
                 part.counted = true;
-                self.judged.push_back((self.now, true));
+                self.judged.push(self.now, true);
             }
             let Some(last) = part.attempts.last().cloned() else {
                 self.send(query, i, actions);
                 continue;
             };
             let age = (self.now - last.sent) as f64;
-            let unheard = self.replicas.get(&last.replica).is_none_or(|r| r.heard <= last.sent);
+            let unheard = self.replicas.get(last.replica).is_none_or(|r| r.traffic().heard <= last.sent);
             if part.attempts.iter().all(|a| !a.out) {
                 if part.attempts.len() < 2 || age > WAIT_SHARES.0 * time {
                     self.send(query, i, actions);
                 }
             } else if age > wait && (2 * landed >= count || unheard) {
-                let better = self.choose(&query.parts[i]).is_some_and(|id| {
-                    let other = &self.replicas[&id];
+                let better = self.choose(&query.parts[i]).is_some_and(|slot| {
+                    let other = self.replicas.at(slot);
                     self.smoothed(other) * f64::from(self.open_calls(other) + 1) < age
                 });
                 if better && self.copies_left() && self.send(query, i, actions) {
@@ -844,18 +827,19 @@
 
     /// A sign of life ends the suspicion; what failed stays in the smoothed latency for a while.
     fn hear(&mut self, id: ReplicaId) {
-        if let Some(replica) = self.replicas.get_mut(&id) {
-            replica.heard = self.now;
-            (replica.suspected, replica.rests_until, replica.strikes) = (false, 0, 0);
-            for connection in std::mem::take(&mut replica.lost) {
-                self.count(connection, true);
-            }
+        let Some(slot) = self.replicas.slot(id) else { return };
+        self.replicas.set_suspected(slot, false);
+        let traffic = self.replicas.traffic_mut(slot);
+        (traffic.heard, traffic.rests_until, traffic.strikes) = (self.now, 0, 0);
+        for connection in std::mem::take(&mut traffic.lost) {
+            self.count(connection, true);
         }
     }
 
-    fn learn(&mut self, id: ReplicaId, sent: Nanos, connection: usize, outcome: Outcome) {
+    fn learn(&mut self, id: ReplicaId, sent: Nanos, connection: Connection, outcome: Outcome) {
         let age = (self.now - sent) as f64;
-        let Some(replica) = self.replicas.get(&id) else { return };
+        let Some(slot) = self.replicas.slot(id) else { return };
+        let replica = self.replicas.at(slot);
         let (known, faded) = (self.latency(replica), self.smoothed(replica));
         let sample = match outcome {
             Outcome::Ok => age,
@@ -863,35 +847,29 @@
             Outcome::Cancelled => age.max(known),
             _ => known.max(LATE_AT * self.shortest_aim()),
         };
-        let overdue = age > self.wait(self.shortest_aim()) && replica.heard <= sent;
+        let overdue = age > self.wait(self.shortest_aim()) && replica.traffic().heard <= sent;
         let full_until = self.now + (FULL_REST * self.shortest_aim()) as Nanos;
-        if let Some(replica) = self.replicas.get_mut(&id) {
-            if outcome == Outcome::Refused {
-                replica.full_until = full_until;
-            }
-            if outcome == Outcome::Ok {
-                let since = replica.answered.max(replica.calls.keys().next().copied().unwrap_or(sent));
-                let gap = (self.now - since) as f64;
-                let old = replica.pace.unwrap_or(gap);
-                replica.pace = Some(old + SMOOTHING * (gap - old));
-                replica.answered = self.now;
-            }
-            if let Some(parts) = replica.calls.get_mut(&sent) {
-                *parts -= 1;
-                if *parts == 0 {
-                    replica.calls.remove(&sent);
-                }
-            }
-            if outcome != Outcome::NotSent {
-                let failed = outcome != Outcome::Ok && (outcome != Outcome::Cancelled || overdue);
-                let weight = if failed { SMOOTHING_FAILED } else { SMOOTHING };
-                replica.latency = Some(faded + weight * (sample - faded));
-                replica.learned = self.now;
-                if failed && !matches!(outcome, Outcome::Error | Outcome::Refused) {
-                    replica.lost.push(connection);
-                }
+        let traffic = self.replicas.traffic_mut(slot);
+        if outcome == Outcome::Refused {
+            traffic.full_until = full_until;
+        }
+        if outcome == Outcome::Ok {
+            let since = traffic.answered.max(traffic.open().first().map_or(sent, |oldest| oldest.sent));
+            let gap = (self.now - since) as f64;
+            let old = traffic.pace.unwrap_or(gap);
+            traffic.pace = Some(old + SMOOTHING * (gap - old));
+            traffic.answered = self.now;
+        }
+        if outcome != Outcome::NotSent {
+            let failed = outcome != Outcome::Ok && (outcome != Outcome::Cancelled || overdue);
+            let weight = if failed { SMOOTHING_FAILED } else { SMOOTHING };
+            traffic.latency = Some(faded + weight * (sample - faded));
+            traffic.learned = self.now;
+            if failed && !matches!(outcome, Outcome::Error | Outcome::Refused) {
+                traffic.lost.push(connection);
             }
         }
+        self.replicas.close_part(slot, sent);
         match outcome {
             Outcome::Ok => {
                 let kept = (-((self.now - self.served.1) as f64) / self.memory()).exp();
@@ -911,17 +889,18 @@
     /// Silence, whatever its cause: the replica rests, longer each time, then gets one call until it answers.
     fn strike(&mut self, id: ReplicaId, sent: Nanos) {
         let (now, aim) = (self.now, self.shortest_aim());
-        let Some(replica) = self.replicas.get_mut(&id) else { return };
-        if replica.heard > sent || now < replica.rests_until {
+        let Some(slot) = self.replicas.slot(id) else { return };
+        let traffic = self.replicas.traffic_mut(slot);
+        if traffic.heard > sent || now < traffic.rests_until {
             return;
         }
         if !std::mem::replace(&mut self.struck, true) {
             self.notes.push(format!("replica {:x} suspected: it is silent", id.0));
         }
-        let rest = REST_AIMS.0 * aim * f64::from(1u32 << replica.strikes.min(16));
-        replica.strikes += 1;
-        replica.suspected = true;
-        replica.rests_until = now + rest.min(REST_AIMS.1 * aim) as Nanos;
+        let rest = REST_AIMS.0 * aim * f64::from(1u32 << traffic.strikes.min(16));
+        traffic.strikes += 1;
+        traffic.rests_until = now + rest.min(REST_AIMS.1 * aim) as Nanos;
+        self.replicas.set_suspected(slot, true);
     }
 
     /// Trouble at many replicas: one probe for each long quiet one, or queries find them out one by one.
@@ -930,19 +909,20 @@
         if !self.settings.may_probe || self.news_age(self.probed) < 1.0 || !std::mem::take(&mut self.struck) {
             return;
         }
-        let ready = || self.replicas.iter().filter(|(_, r)| r.standing == Standing::Ready);
-        if ready().filter(|(_, r)| r.suspected).count() as f64 >= PROBE_SHARE * ready().count() as f64 {
-            let fresh = |r: &Replica| self.now.saturating_sub(r.heard.max(r.learned)) as f64 <= aim;
-            let unheard = ready().filter(|(_, r)| r.calls.is_empty() && !fresh(r));
-            actions.extend(unheard.map(|(id, _)| Action::Probe { replica: *id }));
+        if self.replicas.suspected_and_ready() as f64 >= PROBE_SHARE * self.replicas.ready() as f64 {
+            let fresh = |t: &Traffic| self.now.saturating_sub(t.heard.max(t.learned)) as f64 <= aim;
+            let ready = self.replicas.walk_ready().into_iter().map(|slot| self.replicas.at(slot));
+            let unheard = ready.filter(|r| r.traffic().open().is_empty() && !fresh(r.traffic()));
+            actions.extend(unheard.map(|r| Action::Probe { replica: r.id() }));
             self.probed = self.now;
         }
     }
 
     fn suspect(&self, replica: &Replica) -> bool {
         let silent = self.oldest_age(replica) as f64 > self.wait(self.shortest_aim());
-        let resting = self.now < replica.rests_until || !replica.calls.is_empty();
-        silent || replica.suspected && resting || self.now < replica.full_until
+        let traffic = replica.traffic();
+        let resting = self.now < traffic.rests_until || !traffic.open().is_empty();
+        silent || replica.suspected() && resting || self.now < traffic.full_until
     }
 
     // ---- Answering ----------------------------------------------------------------------------------------
@@ -959,7 +939,7 @@
     /// Whether a part may still land: one that can't go out again (rules, holders, budget) is given up.
     fn may_land(&self, part: &Part, query: &Query) -> bool {
         let out = part.attempts.iter().any(|a| a.out);
-        let held = || self.holders(part.shard).any(|(_, r)| r.standing == Standing::Ready);
+        let held = || self.replicas.holders(part.shard).iter().any(|slot| self.replicas.at(*slot).is_ready());
         let paid = || part.attempts.is_empty() || self.budget_left(query.class, query.aim);
         out || self.may_repeat(part, query.class) && paid() && held()
     }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,5 +3,7 @@
 
 pub mod choice;
 pub mod interface;
+pub mod judged_parts;
+pub mod replica_table;
 
 pub use choice::Coordinator;
--- /dev/null
+++ b/crates/decisions/tests/scale.rs
@@ -0,0 +1,113 @@
+//! What a batch costs, in operations: it depends on the parts of its queries and their holders, not on the size of
+//! the fleet or on all that is open.
+
+use cottonhill_decisions::interface::*;
+use cottonhill_decisions::Coordinator;
+
+const MS: u64 = 1_000_000;
+const START: u64 = 100_000 * MS;
+const COPIES: u64 = 3;
+const PARTS: u64 = 69;
+
+fn settings(replicas: u64) -> Settings {
+    let class = Class { aim: 2000 * MS, deadline: 6000 * MS, need: 1.0, floor: 1.0, ..Class::default() };
+    Settings {
+        classes: vec![class],
+        cells: replicas.div_ceil(COPIES) as u32,
+        reach: 1,
+        coordinators: 1,
+        tick: 5 * MS,
+        max_attempts: Some(4),
+        may_cancel: true,
+        second_copies: true,
+        may_probe: true,
+        // So that the room of cold servers is worked out, too.
+        cold_from: Some(0.25),
+        cold_time: 6000 * MS,
+        fall_multiple: Some(2.0),
+        fall_time: 1500 * MS,
+        ..Settings::default()
+    }
+}
+
+fn member(replica: u64) -> Member {
+    // The third holder of each shard has just started.
+    let started = if replica % COPIES == 2 { START - MS } else { 0 };
+    let cell = (replica / COPIES) as u16;
+    Member { replica: ReplicaId(replica + 1), cell, zone: 0, started, standing: Standing::Ready }
+}
+
+struct Fleet {
+    module: Coordinator,
+    now: u64,
+    actions: Vec<Action>,
+}
+
+impl Fleet {
+    fn new(replicas: u64) -> Fleet {
+        let module = Coordinator::new(settings(replicas), 7);
+        let mut fleet = Fleet { module, now: START, actions: Vec::new() };
+        fleet.batch(0, &[Event::List { kind: ListKind::Full, members: (0..replicas).map(member).collect() }]);
+        fleet
+    }
+
+    /// Takes events so many milliseconds after the last ones; what that visited.
+    fn batch(&mut self, after: u64, events: &[Event]) -> u64 {
+        self.now += after * MS;
+        self.actions.clear();
+        let before = self.module.replicas_visited();
+        self.module.handle(self.now, events, &mut self.actions);
+        self.module.replicas_visited() - before
+    }
+
+    fn query(&mut self, id: u64) -> u64 {
+        let (group, patience) = (id as u32, 6000 * MS);
+        let mut events = vec![Event::Query {
+            id,
+            group,
+            class: 0,
+            tenant: 0,
+            patience,
+            lag: 0,
+            work: None,
+            repeat: false,
+        }];
+        let part = |i| Event::Part { id: id + 1 + i, group, shard: i as u32, weight: 1.0 / PARTS as f64 };
+        events.extend((0..PARTS).map(part));
+        self.batch(5, &events)
+    }
+
+    /// The end of the parts sent last.
+    fn outcomes(&self, outcome: Outcome) -> Vec<Event> {
+        let ended = |action: &Action| match *action {
+            Action::Send { part, replica, .. } => {
+                Some(Event::Ended { part, attempt: 0, replica, outcome, report: LoadReport::new() })
+            }
+            _ => None,
+        };
+        self.actions.iter().filter_map(ended).collect()
+    }
+}
+
+/// A query, the answers to its parts, one that fails, one that is silent, and a change of the list.
+fn visits(replicas: u64) -> Vec<u64> {
+    let mut fleet = Fleet::new(replicas);
+    let mut visits = vec![fleet.query(1000)];
+    let answers = fleet.outcomes(Outcome::Ok);
+    visits.push(fleet.batch(60, &answers));
+    visits.push(fleet.query(2000));
+    let failures = fleet.outcomes(Outcome::Broken);
+    visits.push(fleet.batch(60, &failures[..5]));
+    visits.push(fleet.batch(400, &[]));
+    let gone = Member { standing: Standing::Gone, ..member(0) };
+    let new = Member { replica: ReplicaId(replicas + 1), ..member(0) };
+    visits.push(fleet.batch(5, &[Event::List { kind: ListKind::Changes, members: vec![gone, new] }]));
+    visits
+}
+
+#[test]
+fn a_batch_visits_as_many_replicas_in_a_large_fleet_as_in_a_small_one() {
+    let small = visits(300);
+    assert!(small[0] >= PARTS * COPIES, "{small:?}");
+    assert_eq!(small, visits(30_000));
+}
