Tend queries when something of theirs happened or is due, not all in every batch

Every batch tended every open query, and each look at a replica added up all its parts that were out: a query cost in proportion to all that was open.

A query is now tended in a batch in which a part or an end of its own came, or at the first time at which tending may change anything without that: when it is to be answered or given up, when its parts become late, and the least wait before a second copy. A query with a part of which nothing is out stays due in every batch, since budgets, lists and the choice of a replica may change in any; so does one whose wait is over. The parts out at a replica and the calls they fill are kept as totals.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -3,9 +3,11 @@
 //! One [`Coordinator`] is told of events in batches and answers each batch with actions. It holds no clock,
 //! no thread and nothing global: the same settings, seed and events give the same actions.
 
+use crate::due_queue::DueQueue;
 use crate::interface::*;
 use crate::judged_parts::JudgedParts;
-use crate::replica_table::{Connection, OpenParts, Replica, ReplicaTable, Slot, Traffic};
+use crate::query::{Attempt, Part, Query};
+use crate::replica_table::{Connection, Replica, ReplicaTable, Slot, Traffic};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // ---- Tuned constants ----------------------------------------------------------------------------------
@@ -87,45 +89,6 @@
 
 // ---- State --------------------------------------------------------------------------------------------
 
-#[derive(Clone, Debug, Default)]
-struct Attempt {
-    replica: ReplicaId,
-    sent: Nanos,
-    out: bool,
-    never_ran: bool,
-    broke: bool,
-}
-
-#[derive(Debug, Default)]
-struct Part {
-    id: RequestId,
-    shard: u32,
-    weight: f64,
-    step: u8,
-    landed: bool,
-    dropped: bool,
-    counted: bool,
-    attempts: Vec<Attempt>,
-}
-
-#[derive(Debug, Default)]
-struct Query {
-    id: RequestId,
-    group: u32,
-    class: usize,
-    arrived: Nanos,
-    aim: Nanos,
-    deadline: Nanos,
-    /// A repeat by a client that gives up its tries before the aim.
-    hasty: bool,
-    /// The aim had passed when it came; `aim` is its deadline then.
-    late: bool,
-    step: u8,
-    step_began: Nanos,
-    first_whole: bool,
-    parts: Vec<Part>,
-}
-
 /// The decisions of one co-ordinator.
 #[derive(Debug, Default)]
 pub struct Coordinator {
@@ -136,6 +99,11 @@
     now: Nanos,
     replicas: ReplicaTable,
     queries: BTreeMap<RequestId, Query>,
+    /// When each query is next tended, unless something of its own happens before.
+    due: DueQueue,
+    /// All queries are tended in every batch, for comparison; how many were tended so far.
+    tends_all: bool,
+    tended: u64,
     groups: BTreeMap<u32, RequestId>,
     owner: BTreeMap<RequestId, RequestId>,
     /// Attempts out: where, since when, and on what kind of connection.
@@ -185,19 +153,13 @@
     }
 }
 
-fn by_weight(query: &Query) -> Vec<usize> {
-    let mut order: Vec<usize> = (0..query.parts.len()).collect();
-    order.sort_by(|a, b| query.parts[*a].weight.total_cmp(&query.parts[*b].weight));
-    order
-}
-
 // ---- Events -------------------------------------------------------------------------------------------
 
 impl Coordinator {
     pub fn new(settings: Settings, seed: u64) -> Self {
         Coordinator {
             ask_at: settings.list_on_request.then_some(0),
-            replicas: ReplicaTable::new(settings.cells, settings.reach),
+            replicas: ReplicaTable::new(settings.cells, settings.reach, settings.call_parts.unwrap_or(1)),
             shortest_aim: ShortestAim(settings.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND) as f64),
             settings,
             seed,
@@ -217,6 +179,17 @@
         self.replicas.visited()
     }
 
+    /// How many times a query was tended so far: a count for tests of scale.
+    pub fn queries_tended(&self) -> u64 {
+        self.tended
+    }
+
+    /// Tends all queries in every batch from now on, due or not: the actions are the same, for tests to compare.
+    #[doc(hidden)]
+    pub fn tend_all(&mut self) {
+        self.tends_all = true;
+    }
+
     /// Takes what happened at `now`, in order, and appends what to do about it to `actions`.
     pub fn handle(&mut self, now: Nanos, events: &[Event], actions: &mut Vec<Action>) {
         self.now = now;
@@ -234,8 +207,9 @@
         for id in fresh {
             self.begin(id, actions);
         }
-        let ids: Vec<RequestId> = self.queries.keys().copied().collect();
-        for id in ids {
+        let due = self.due.take_due(now);
+        let due = if self.tends_all { self.queries.keys().copied().collect() } else { due };
+        for id in due {
             self.tend(id, actions);
         }
         self.probe_round(actions);
@@ -322,6 +296,7 @@
         };
         self.groups.insert(group, id);
         self.queries.insert(id, query);
+        self.due.set(id, self.now);
     }
 
     /// How much of its aim a repeat has spent: its patience ends with the first try's deadline. First tries
@@ -346,6 +321,7 @@
         let weight = if weight.is_finite() { weight.max(0.0) } else { 0.0 };
         query.parts.push(Part { id, shard, weight, step: query.step, ..Part::default() });
         self.owner.insert(id, owner);
+        self.due.set(owner, self.now);
         Some(owner)
     }
 
@@ -358,6 +334,7 @@
         self.learn(replica, sent, connection, outcome);
         let Some(owner) = self.owner.get(&part) else { return };
         let Some(query) = self.queries.get_mut(owner) else { return };
+        self.due.set(*owner, self.now);
         let Some(part) = query.parts.iter_mut().find(|p| p.id == part) else { return };
         if let Some(attempt) = part.attempts.get_mut(number as usize) {
             attempt.out = false;
@@ -382,6 +359,7 @@
     }
 
     fn forget(&mut self, query: &Query) {
+        self.due.remove(query.id);
         self.groups.remove(&query.group);
         for part in &query.parts {
             self.owner.remove(&part.id);
@@ -420,7 +398,7 @@
             }
             self.select(&mut query);
         }
-        for i in by_weight(&query).into_iter().rev() {
+        for i in query.by_weight().into_iter().rev() {
             if query.parts[i].attempts.is_empty() && !query.parts[i].dropped {
                 self.send(&mut query, i, actions);
             }
@@ -487,7 +465,7 @@
     /// When one more part should be back: ours out there at the pace of its answers, just sent ones included.
     fn expected(&self, replica: &Replica) -> f64 {
         let traffic = replica.traffic();
-        let out: u32 = traffic.open().iter().map(|open| open.parts).sum();
+        let out = traffic.open().parts();
         if self.now < traffic.full_until {
             return f64::INFINITY;
         }
@@ -517,7 +495,7 @@
         }
         let sent: f64 = query.parts.iter().filter(|p| !p.dropped).map(|p| p.weight).sum();
         let mut spare = (sent - floor) * self.cutoff / CUTOFF_TOP;
-        for i in by_weight(query) {
+        for i in query.by_weight() {
             let part = &mut query.parts[i];
             if part.weight >= self.cutoff || part.weight > spare {
                 return;
@@ -596,30 +574,23 @@
 
     fn oldest_age(&self, replica: &Replica) -> Nanos {
         let traffic = replica.traffic();
-        traffic.open().first().map_or(0, |open| self.now - open.sent.max(traffic.heard))
+        traffic.open().oldest().map_or(0, |sent| self.now - sent.max(traffic.heard))
     }
 
     fn sent_to_now(&self, replica: &Replica) -> bool {
-        replica.traffic().open().last().is_some_and(|open| open.sent == self.now)
+        replica.traffic().open().newest() == Some(self.now)
     }
 
     /// Calls of ours still out at it; one opened this turn that has room for one more part is not counted.
     fn open_calls(&self, replica: &Replica) -> u32 {
-        let room = self.settings.call_parts.unwrap_or(1).max(1);
-        let full = |open: &OpenParts| {
-            if open.sent == self.now {
-                open.parts / room
-            } else {
-                open.parts.div_ceil(room)
-            }
-        };
-        replica.traffic().open().iter().map(full).sum()
+        replica.traffic().open().calls(self.now, self.replicas.call_parts())
     }
 
     /// Drains and cold replicas: whether the rules leave room for one more part there.
     fn may_send(&self, replica: &Replica) -> bool {
         let since = self.now.saturating_sub(self.settings.fall_time);
-        let recent = replica.traffic().sends.iter().filter(|at| **at >= since).count();
+        let sends = &replica.traffic().sends;
+        let recent = sends.len() - sends.partition_point(|at| *at < since);
         replica.is_ready() && (recent as f64) < self.cold_room(replica)
     }
 
@@ -783,9 +754,14 @@
         self.mean.unwrap_or(unknown) + WAIT_DEVIATIONS * self.deviation
     }
 
+    /// The time that one step of the query has, ns.
+    fn step_time(&self, query: &Query) -> f64 {
+        self.settings.classes[query.class].aim as f64 / self.steps_of(query) as f64
+    }
+
     /// Judges lateness, and sends again what failed or has been out too long.
     fn push_on(&mut self, query: &mut Query, actions: &mut Vec<Action>) {
-        let time = self.settings.classes[query.class].aim as f64 / self.steps_of(query) as f64;
+        let time = self.step_time(query);
         let (wait, late) = (self.wait(time), LATE_AT * time);
         let in_step = query.parts.iter().filter(|p| p.step == query.step && !p.dropped);
         let (count, landed) = in_step.fold((0, 0), |(n, l), p| (n + 1, l + p.landed as usize));
@@ -854,7 +830,7 @@
             traffic.full_until = full_until;
         }
         if outcome == Outcome::Ok {
-            let since = traffic.answered.max(traffic.open().first().map_or(sent, |oldest| oldest.sent));
+            let since = traffic.answered.max(traffic.open().oldest().unwrap_or(sent));
             let gap = (self.now - since) as f64;
             let old = traffic.pace.unwrap_or(gap);
             traffic.pace = Some(old + SMOOTHING * (gap - old));
@@ -925,6 +901,33 @@
         silent || replica.suspected() && resting || self.now < traffic.full_until
     }
 
+    // ---- Deadlines ----------------------------------------------------------------------------------------
+
+    /// The first time at which tending the query may change anything, unless something of its own happens
+    /// before: an answer or refusal at a fixed moment, or what `push_on` does for a part. It may be too early,
+    /// never too late.
+    fn next_due(&self, query: &Query) -> Nanos {
+        let time = self.step_time(query);
+        let open = query.parts.iter().filter(|p| p.step == query.step && !p.landed && !p.dropped);
+        let parts = open.map(|part| self.part_due(part, query, time)).min();
+        let end = Some(self.answer_time(query)).filter(|end| *end > self.now);
+        self.give_up_time(query).min(parts.unwrap_or(Nanos::MAX)).min(end.unwrap_or(Nanos::MAX))
+    }
+
+    /// Where nothing is out, budgets, lists and what other queries do may let a part go in any batch.
+    fn part_due(&self, part: &Part, query: &Query, time: f64) -> Nanos {
+        let Some(last) = part.attempts.last().filter(|_| part.attempts.iter().any(|a| a.out)) else {
+            return self.now;
+        };
+        let copy = last.sent.saturating_add((WAIT_SHARES.0 * time) as Nanos);
+        let late = query.step_began.saturating_add((LATE_AT * time) as Nanos);
+        if part.counted {
+            copy
+        } else {
+            copy.min(late)
+        }
+    }
+
     // ---- Answering ----------------------------------------------------------------------------------------
 
     /// When the running step has to be over: just before the aim, earlier where a second step follows.
@@ -936,6 +939,33 @@
         end
     }
 
+    /// The last moment for an answer.
+    fn last_call(&self, query: &Query) -> Nanos {
+        query.deadline.saturating_sub(SPARE_BEATS * self.beat())
+    }
+
+    /// When the query is answered from what is in, if that is enough.
+    fn answer_time(&self, query: &Query) -> Nanos {
+        let class = &self.settings.classes[query.class];
+        let late_earns = class.late_worth > class.partial_earns * query.landed() / class.need;
+        if late_earns {
+            self.last_call(query)
+        } else {
+            self.step_end(query)
+        }
+    }
+
+    /// When the query is given up if it is not answered.
+    fn give_up_time(&self, query: &Query) -> Nanos {
+        let late_worth = self.settings.classes[query.class].late_worth;
+        let last_call = self.last_call(query);
+        if late_worth > 0.0 {
+            last_call
+        } else {
+            query.aim.saturating_sub(self.beat()).min(last_call)
+        }
+    }
+
     /// Whether a part may still land: one that can't go out again (rules, holders, budget) is given up.
     fn may_land(&self, part: &Part, query: &Query) -> bool {
         let out = part.attempts.iter().any(|a| a.out);
@@ -946,9 +976,10 @@
 
     fn tend(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(mut query) = self.queries.remove(&id) else { return };
+        self.tended += 1;
         let class = &self.settings.classes[query.class];
         let own = |p: &&Part| p.step == query.step;
-        let landed: f64 = query.parts.iter().filter(own).filter(|p| p.landed).map(|p| p.weight).sum();
+        let landed = query.landed();
         let all_in = query.parts.iter().filter(own).all(|p| p.landed);
         let open = |p: &&Part| !p.landed && !p.dropped && self.may_land(p, &query);
         let open: Vec<f64> = query.parts.iter().filter(own).filter(open).map(|p| p.weight).collect();
@@ -959,17 +990,14 @@
             if query.step == 1 { all_in || landed + 1e-6 >= need } else { all_in && query.first_whole };
         let enough = whole || landed > 0.0 && landed + 1e-6 >= least;
         let begun = query.parts.iter().any(|p| p.step == query.step);
-        let last_call = query.deadline.saturating_sub(SPARE_BEATS * self.beat());
-        let late_earns = class.late_worth > class.partial_earns * landed / need;
-        let end = if late_earns { last_call } else { self.step_end(&query) };
+        let end = self.answer_time(&query);
         if begun && enough && (whole || all_in || !waiting || self.now >= end) {
             return self.answer(query, whole, actions);
         }
-        let useful = if class.late_worth > 0.0 { last_call } else { query.aim.saturating_sub(self.beat()) };
         let harm = Self::harmful(&query);
         let idle = query.parts.iter().flat_map(|p| &p.attempts).all(|a| !a.out);
         let lost = begun && (!waiting || landed + open.iter().sum::<f64>() + 1e-4 < least);
-        if self.now >= useful.min(last_call) || lost || harm && idle {
+        if self.now >= self.give_up_time(&query) || lost || harm && idle {
             if query.parts.iter().any(|p| p.landed || p.attempts.iter().any(|a| a.out)) {
                 self.keep_out(LOST_SHUTS);
             }
@@ -978,7 +1006,13 @@
         if !harm || (self.now - query.step_began) as f64 > self.wait(self.shortest_aim()) {
             self.push_on(&mut query, actions);
         }
-        self.queries.insert(id, query);
+        self.keep(query);
+    }
+
+    /// Keeps a query that was tended until it is next due.
+    fn keep(&mut self, query: Query) {
+        self.due.set(query.id, self.next_due(&query));
+        self.queries.insert(query.id, query);
     }
 
     fn answer(&mut self, mut query: Query, whole: bool, actions: &mut Vec<Action>) {
@@ -988,7 +1022,7 @@
             query.step = 2;
             query.step_began = self.now;
             query.first_whole = whole;
-            self.queries.insert(query.id, query);
+            self.keep(query);
         } else {
             self.forget(&query);
         }
--- a/crates/decisions/src/replica_table.rs
+++ b/crates/decisions/src/replica_table.rs
@@ -5,6 +5,7 @@
 //! decides nothing.
 
 use crate::interface::{Member, Nanos, ReplicaId, Standing};
+use crate::open_parts::OpenParts;
 use std::borrow::Cow;
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -22,13 +23,6 @@
     Renewed,
 }
 
-/// Parts that were sent to one replica at one time and share its calls.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OpenParts {
-    pub sent: Nanos,
-    pub parts: u32,
-}
-
 /// What was learned of one replica in traffic; the default of one that was never contacted.
 #[derive(Debug, Default, PartialEq)]
 pub struct Traffic {
@@ -51,13 +45,12 @@
     pub sends: VecDeque<Nanos>,
     /// While it is cold: since when it has its turn, and how much that adds to its room.
     pub turn: (Nanos, f64),
-    /// Parts of ours that are still out, oldest first.
-    open: Vec<OpenParts>,
+    open: OpenParts,
 }
 
 impl Traffic {
-    /// Parts of ours that are still out, oldest first.
-    pub fn open(&self) -> &[OpenParts] {
+    /// Parts of ours that are still out.
+    pub fn open(&self) -> &OpenParts {
         &self.open
     }
 }
@@ -75,7 +68,7 @@
     full_until: 0,
     sends: VecDeque::new(),
     turn: (0, 0.0),
-    open: Vec::new(),
+    open: OpenParts::NONE,
 };
 
 /// One replica: what the list says of it, and what was learned in traffic.
@@ -138,10 +131,11 @@
 pub struct Slot(u32);
 
 /// All replicas that are listed, and those gone that are not forgotten yet.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ReplicaTable {
     cells: u32,
     reach: u32,
+    call_parts: u32,
     /// Free slots are those of replicas gone.
     replicas: Vec<Replica>,
     free: Vec<Slot>,
@@ -155,10 +149,35 @@
     visited: Cell<u64>,
 }
 
+/// A table without holders of any shard.
+impl Default for ReplicaTable {
+    fn default() -> Self {
+        ReplicaTable::new(1, 0, 1)
+    }
+}
+
 impl ReplicaTable {
-    /// A table for so many cells, where shard s is held by cells s, s + 1, ... s + `reach` - 1, modulo `cells`.
-    pub fn new(cells: u32, reach: u32) -> Self {
-        ReplicaTable { cells: cells.max(1), reach, ..ReplicaTable::default() }
+    /// A table for so many cells, where shard s is held by cells s, s + 1, ... s + `reach` - 1, modulo `cells`,
+    /// and so many parts at most share a call.
+    pub fn new(cells: u32, reach: u32, call_parts: u32) -> Self {
+        ReplicaTable {
+            cells: cells.max(1),
+            reach,
+            call_parts: call_parts.max(1),
+            replicas: Vec::new(),
+            free: Vec::new(),
+            slots: HashMap::new(),
+            by_cell: Vec::new(),
+            ready: 0,
+            suspected_and_ready: 0,
+            expiring: BinaryHeap::new(),
+            visited: Cell::new(0),
+        }
+    }
+
+    /// How many parts may share a call.
+    pub fn call_parts(&self) -> u32 {
+        self.call_parts
     }
 
     /// How many replicas are known, those gone and not forgotten included.
@@ -324,23 +343,15 @@
 
     /// Counts a part that is sent to a replica now.
     pub fn open_part(&mut self, slot: Slot, now: Nanos) {
-        let open = &mut self.traffic_mut(slot).open;
-        match open.last_mut().filter(|last| last.sent == now) {
-            Some(last) => last.parts += 1,
-            None => open.push(OpenParts { sent: now, parts: 1 }),
-        }
+        let call_parts = self.call_parts;
+        self.traffic_mut(slot).open.send(now, call_parts);
     }
 
     /// Counts a part that was sent to a replica at `sent` as back.
     pub fn close_part(&mut self, slot: Slot, sent: Nanos) {
+        let call_parts = self.call_parts;
         let open = &mut self.traffic_mut(slot).open;
-        let Ok(i) = open.binary_search_by_key(&sent, |parts| parts.sent) else { return };
-        open[i].parts -= 1;
-        if open[i].parts == 0 {
-            open.remove(i);
-        }
-        if open.is_empty() {
-            *open = Vec::new();
+        if open.end(sent, call_parts) && open.is_empty() {
             self.expire_later(slot);
         }
     }
--- a/crates/decisions/tests/replica_table.rs
+++ b/crates/decisions/tests/replica_table.rs
@@ -1,7 +1,7 @@
 //! The replica table against a plain walk over all replicas, and what it visits.
 
 use cottonhill_decisions::interface::*;
-use cottonhill_decisions::replica_table::ReplicaTable;
+use cottonhill_decisions::replica_table::{Replica, ReplicaTable, Slot};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, BTreeSet};
@@ -9,6 +9,7 @@
 /// How long what was learned of one that is gone is kept.
 const FADE: u64 = 50;
 const REPLICAS: u64 = 8;
+const CALL_PARTS: u32 = 2;
 
 /// The oracle: every question is answered by a walk over all replicas.
 #[derive(Default)]
@@ -56,6 +57,19 @@
         self.replicas.iter().filter(|(_, r)| holds(r.cell)).map(|(id, _)| *id).collect()
     }
 
+    /// Parts out at a replica, and calls that have no room for one sent now.
+    fn out(&self, id: ReplicaId, now: u64) -> (u32, u32) {
+        let Some(replica) = self.replicas.get(&id) else { return (0, 0) };
+        let full = |(sent, parts): (&u64, &u32)| {
+            if *sent == now {
+                parts / CALL_PARTS
+            } else {
+                parts.div_ceil(CALL_PARTS)
+            }
+        };
+        (replica.open.values().sum(), replica.open.iter().map(full).sum())
+    }
+
     fn ready(&self) -> Vec<ReplicaId> {
         let ready = self.replicas.iter().filter(|(_, r)| r.standing == Standing::Ready);
         ready.map(|(id, _)| *id).collect()
@@ -154,11 +168,11 @@
         suspected: replica.suspected(),
         learned: replica.traffic().learned,
         latency: replica.traffic().latency,
-        open: replica.traffic().open().iter().map(|open| (open.sent, open.parts)).collect(),
+        open: replica.traffic().open().by_time().map(|open| (open.sent, open.parts)).collect(),
     })
 }
 
-fn ids(table: &ReplicaTable, slots: &[cottonhill_decisions::replica_table::Slot]) -> Vec<ReplicaId> {
+fn ids(table: &ReplicaTable, slots: &[Slot]) -> Vec<ReplicaId> {
     slots.iter().map(|slot| table.at(*slot).id()).collect()
 }
 
@@ -171,7 +185,7 @@
     fn the_table_answers_as_a_walk_over_all_replicas_does(
         (cells, reach) in a_layout(), steps in prop::collection::vec(a_step(), 1..80)
     ) {
-        let mut table = ReplicaTable::new(cells, reach);
+        let mut table = ReplicaTable::new(cells, reach, CALL_PARTS);
         let mut walk = Walk { cells, reach, ..Walk::default() };
         let mut now = FADE + 1;
         for step in steps {
@@ -180,6 +194,8 @@
             for id in (1..=REPLICAS).map(ReplicaId) {
                 let known = known(&table, id);
                 prop_assert_eq!(known.as_ref(), walk.replicas.get(&id));
+                let open = |r: &Replica| (r.traffic().open().parts(), r.traffic().open().calls(now, CALL_PARTS));
+                prop_assert_eq!(table.get(id).map_or((0, 0), open), walk.out(id, now));
             }
             for shard in (0..10).chain([65_530, 99_999, 100_001, u32::MAX]) {
                 prop_assert_eq!(ids(&table, &table.holders(shard)), walk.holders(shard));
@@ -214,7 +230,7 @@
 #[test]
 fn a_lookup_and_a_change_visit_no_more_in_a_large_fleet() {
     let counts = |replicas: u64| {
-        let mut table = ReplicaTable::new(replicas.div_ceil(3) as u32, 1);
+        let mut table = ReplicaTable::new(replicas.div_ceil(3) as u32, 1, 1);
         table.list(&fleet(replicas), true);
         let lookup = visits(&mut table, |table| drop(table.holders(7)));
         let gone = Member { standing: Standing::Gone, ..fleet(replicas)[10].clone() };
@@ -231,7 +247,7 @@
 
 #[test]
 fn one_that_goes_and_returns_again_and_again_is_queued_once() {
-    let mut table = ReplicaTable::new(1, 1);
+    let mut table = ReplicaTable::new(1, 1, 1);
     let ready = fleet(1);
     let gone = [Member { standing: Standing::Gone, ..ready[0].clone() }];
     table.list(&ready, false);
@@ -251,7 +267,7 @@
 
 #[test]
 fn what_is_learned_of_one_that_is_gone_puts_off_when_it_is_forgotten() {
-    let mut table = ReplicaTable::new(1, 1);
+    let mut table = ReplicaTable::new(1, 1, 1);
     table.list(&fleet(2), true);
     let slot = table.slot(ReplicaId(1)).unwrap();
     table.traffic_mut(slot).learned = 100;
@@ -266,6 +282,5 @@
 /// Every mixer of a large fleet holds all entries; most of them it has never met.
 #[test]
 fn the_entry_of_one_that_was_never_contacted_is_small() {
-    use cottonhill_decisions::replica_table::Replica;
     assert!(std::mem::size_of::<Replica>() <= 32, "{} bytes", std::mem::size_of::<Replica>());
 }
--- a/crates/decisions/tests/scale.rs
+++ b/crates/decisions/tests/scale.rs
@@ -61,20 +61,11 @@
     }
 
     fn query(&mut self, id: u64) -> u64 {
-        let (group, patience) = (id as u32, 6000 * MS);
-        let mut events = vec![Event::Query {
-            id,
-            group,
-            class: 0,
-            tenant: 0,
-            patience,
-            lag: 0,
-            work: None,
-            repeat: false,
-        }];
-        let part = |i| Event::Part { id: id + 1 + i, group, shard: i as u32, weight: 1.0 / PARTS as f64 };
-        events.extend((0..PARTS).map(part));
-        self.batch(5, &events)
+        self.query_after(5, id)
+    }
+
+    fn query_after(&mut self, after: u64, id: u64) -> u64 {
+        self.batch(after, &query(id))
     }
 
     /// The end of the parts sent last.
@@ -89,6 +80,16 @@
     }
 }
 
+/// A query with its parts.
+fn query(id: u64) -> Vec<Event> {
+    let (group, patience) = (id as u32, 6000 * MS);
+    let mut events =
+        vec![Event::Query { id, group, class: 0, tenant: 0, patience, lag: 0, work: None, repeat: false }];
+    let part = |i| Event::Part { id: id + 1 + i, group, shard: i as u32, weight: 1.0 / PARTS as f64 };
+    events.extend((0..PARTS).map(part));
+    events
+}
+
 /// A query, the answers to its parts, one that fails, one that is silent, and a change of the list.
 fn visits(replicas: u64) -> Vec<u64> {
     let mut fleet = Fleet::new(replicas);
@@ -111,3 +112,35 @@
     assert!(small[0] >= PARTS * COPIES, "{small:?}");
     assert_eq!(small, visits(30_000));
 }
+
+/// How many queries are tended for a query and for each answer to its parts, beside so many that are open.
+fn tended(open: u64) -> Vec<u64> {
+    let mut fleet = Fleet::new(300);
+    for i in 0..open {
+        fleet.query_after(0, 1_000_000 + i * 1000);
+    }
+    let mut tended = Vec::new();
+    let mut batch = |fleet: &mut Fleet, events: &[Event]| {
+        let before = fleet.module.queries_tended();
+        fleet.batch(5, events);
+        tended.push(fleet.module.queries_tended() - before);
+    };
+    batch(&mut fleet, &query(1000));
+    for answer in fleet.outcomes(Outcome::Ok) {
+        batch(&mut fleet, &[answer]);
+        if fleet.now > START + 100 * MS {
+            // The others come to the time of their copies.
+            break;
+        }
+    }
+    batch(&mut fleet, &[]);
+    tended
+}
+
+#[test]
+fn a_batch_tends_no_more_queries_where_many_are_open() {
+    let few = tended(8);
+    assert!(few.len() > 10 && few[..few.len() - 1].iter().all(|count| *count == 1), "{few:?}");
+    assert_eq!(few[few.len() - 1], 0, "nothing happened");
+    assert_eq!(few, tended(512));
+}
