Look a replica up once for each outcome, and keep times of sends only for slow start

Each end of an attempt looked its replica up three or four times, and each send noted its time at the replica also where the settings tell of no slow start, which alone reads it.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -239,18 +239,27 @@
                     fresh.remove(id);
                 }
             }
-            Event::Began { replica, .. } => self.hear(*replica),
-            Event::Probed { replica, outcome, latency, .. } => match outcome {
-                Outcome::TimedOut | Outcome::Unreachable | Outcome::Broken => {
-                    self.learn(*replica, self.now.saturating_sub(*latency), Connection::InUse, *outcome);
+            Event::Began { replica, .. } => {
+                if let Some(slot) = self.replicas.slot(*replica) {
+                    self.hear(slot);
                 }
-                Outcome::Ok => self.hear(*replica),
-                _ => {}
-            },
+            }
+            Event::Probed { replica, outcome, latency, .. } => self.take_probe(*replica, *outcome, *latency),
             Event::Timer { .. } | Event::Message { .. } => {}
         }
     }
 
+    fn take_probe(&mut self, replica: ReplicaId, outcome: Outcome, latency: Nanos) {
+        let Some(slot) = self.replicas.slot(replica) else { return };
+        match outcome {
+            Outcome::TimedOut | Outcome::Unreachable | Outcome::Broken => {
+                self.learn(slot, self.now.saturating_sub(latency), Connection::InUse, outcome);
+            }
+            Outcome::Ok => self.hear(slot),
+            _ => {}
+        }
+    }
+
     fn take_list(&mut self, kind: ListKind, members: &[Member]) {
         if kind == ListKind::Failed {
             return self.ask_later();
@@ -329,9 +338,13 @@
         let Some((replica, sent, connection)) = self.flights.remove(&(part, number)) else { return };
         // A failed connection is lost capacity where the replica was heard lately or attempts are rationed;
         // elsewhere it may just be slow to greet, and light parts dropped for that help nobody.
-        let known = self.replicas.get(replica).is_some_and(|r| self.news_age(r.traffic().heard) < 1.0);
+        let slot = self.replicas.slot(replica);
+        let heard = |slot: Slot| self.replicas.at(slot).traffic().heard;
+        let known = slot.is_some_and(|slot| self.news_age(heard(slot)) < 1.0);
         let pressing = known || self.settings.budget.is_some();
-        self.learn(replica, sent, connection, outcome);
+        if let Some(slot) = slot {
+            self.learn(slot, sent, connection, outcome);
+        }
         let Some(owner) = self.owner.get(&part) else { return };
         let Some(query) = self.queries.get_mut(owner) else { return };
         self.due.set(*owner, self.now);
@@ -588,10 +601,14 @@
 
     /// Drains and cold replicas: whether the rules leave room for one more part there.
     fn may_send(&self, replica: &Replica) -> bool {
+        let room = self.cold_room(replica);
+        if !replica.is_ready() || room == f64::INFINITY {
+            return replica.is_ready();
+        }
         let since = self.now.saturating_sub(self.settings.fall_time);
         let sends = &replica.traffic().sends;
         let recent = sends.len() - sends.partition_point(|at| *at < since);
-        replica.is_ready() && (recent as f64) < self.cold_room(replica)
+        (recent as f64) < room
     }
 
     /// Turns at cold holders come no closer than the time in which they fall, from when there is work for them: were
@@ -612,8 +629,7 @@
     /// tenants' allowances say that all can bear: at no room the warm ones are left with all the work. Dozens
     /// with one part each push it over: of less than one, the seed decides when it goes.
     fn cold_room(&self, replica: &Replica) -> f64 {
-        let told = self.settings.cold_from.zip(self.settings.fall_multiple);
-        let Some((from, multiple)) = told else { return f64::INFINITY };
+        let Some((from, multiple)) = self.cold_limits() else { return f64::INFINITY };
         let traffic = replica.traffic();
         let age = self.now.saturating_sub(replica.started());
         if replica.started() == 0 || age >= self.settings.cold_time {
@@ -635,6 +651,11 @@
         ((multiple * warmth * usual).max(1.0 / mixers) + traffic.turn.1).floor()
     }
 
+    /// With what share of its capacity a replica starts, and sent how much of it a cold one falls over.
+    fn cold_limits(&self) -> Option<(f64, f64)> {
+        self.settings.cold_from.zip(self.settings.fall_multiple)
+    }
+
     fn memory(&self) -> f64 {
         COLD_MEMORY * self.settings.cold_time.max(1) as f64
     }
@@ -658,12 +679,10 @@
         part.attempts.push(Attempt { replica: id, sent: self.now, out: true, ..Attempt::default() });
         let connection = self.connection(slot, actions);
         self.flights.insert((part.id, number), (id, self.now, connection));
-        let window = self.now.saturating_sub(self.settings.fall_time);
         self.replicas.open_part(slot, self.now);
-        let sends = &mut self.replicas.traffic_mut(slot).sends;
-        sends.push_back(self.now);
-        while sends.front().is_some_and(|at| *at < window) {
-            sends.pop_front();
+        if self.cold_limits().is_some() {
+            let window = self.now.saturating_sub(self.settings.fall_time);
+            self.replicas.note_send(slot, self.now, window);
         }
         actions.push(Action::Send { part: part.id, replica: id, until });
         true
@@ -793,7 +812,9 @@
                     self.smoothed(other) * f64::from(self.open_calls(other) + 1) < age
                 });
                 if better && self.copies_left() && self.send(query, i, actions) {
-                    self.strike(last.replica, last.sent);
+                    if let Some(slot) = self.replicas.slot(last.replica) {
+                        self.strike(slot, last.sent);
+                    }
                 }
             }
         }
@@ -802,8 +823,7 @@
     // ---- Health -------------------------------------------------------------------------------------------
 
     /// A sign of life ends the suspicion; what failed stays in the smoothed latency for a while.
-    fn hear(&mut self, id: ReplicaId) {
-        let Some(slot) = self.replicas.slot(id) else { return };
+    fn hear(&mut self, slot: Slot) {
         self.replicas.set_suspected(slot, false);
         let traffic = self.replicas.traffic_mut(slot);
         (traffic.heard, traffic.rests_until, traffic.strikes) = (self.now, 0, 0);
@@ -812,9 +832,8 @@
         }
     }
 
-    fn learn(&mut self, id: ReplicaId, sent: Nanos, connection: Connection, outcome: Outcome) {
+    fn learn(&mut self, slot: Slot, sent: Nanos, connection: Connection, outcome: Outcome) {
         let age = (self.now - sent) as f64;
-        let Some(slot) = self.replicas.slot(id) else { return };
         let replica = self.replicas.at(slot);
         let (known, faded) = (self.latency(replica), self.smoothed(replica));
         let sample = match outcome {
@@ -853,19 +872,19 @@
                 let mean = self.mean.unwrap_or(age);
                 self.deviation += SMOOTHING_ALL * ((age - mean).abs() - self.deviation);
                 self.mean = Some(mean + SMOOTHING_ALL * (age - mean));
-                self.hear(id);
+                self.hear(slot);
                 self.count(connection, false);
             }
-            Outcome::Error | Outcome::Refused => self.hear(id),
-            Outcome::Unreachable | Outcome::Broken | Outcome::TimedOut => self.strike(id, sent),
+            Outcome::Error | Outcome::Refused => self.hear(slot),
+            Outcome::Unreachable | Outcome::Broken | Outcome::TimedOut => self.strike(slot, sent),
             Outcome::Cancelled | Outcome::NotSent => {}
         }
     }
 
     /// Silence, whatever its cause: the replica rests, longer each time, then gets one call until it answers.
-    fn strike(&mut self, id: ReplicaId, sent: Nanos) {
+    fn strike(&mut self, slot: Slot, sent: Nanos) {
         let (now, aim) = (self.now, self.shortest_aim());
-        let Some(slot) = self.replicas.slot(id) else { return };
+        let id = self.replicas.at(slot).id();
         let traffic = self.replicas.traffic_mut(slot);
         if traffic.heard > sent || now < traffic.rests_until {
             return;
--- a/crates/decisions/src/replica_table.rs
+++ b/crates/decisions/src/replica_table.rs
@@ -347,6 +347,15 @@
         self.traffic_mut(slot).open.send(now, call_parts);
     }
 
+    /// Keeps the time of a send that is made now, and those of the sends since `since`.
+    pub fn note_send(&mut self, slot: Slot, now: Nanos, since: Nanos) {
+        let sends = &mut self.traffic_mut(slot).sends;
+        sends.push_back(now);
+        while sends.front().is_some_and(|at| *at < since) {
+            sends.pop_front();
+        }
+    }
+
     /// Counts a part that was sent to a replica at `sent` as back.
     pub fn close_part(&mut self, slot: Slot, sent: Nanos) {
         let call_parts = self.call_parts;
