Split the decisions into modules by job, with the field's names, data structures apart

What decides nothing is outside: open queries, windows and averages, lengths of time from the settings. Pairs became named constants and types; patience is the client timeout, the aim a target, told announced, a strike silence, a rest backoff, what keeps queries out load shedding. The interface's fields keep their names.

Tests: those of the counts follow two renamed methods.

--- a/crates/decisions/src/judged_parts.rs
+++ b/crates/decisions/src/judged_parts.rs
@@ -28,10 +28,6 @@
         self.verdicts.len()
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.verdicts.is_empty()
-    }
-
     /// How many of them are bad.
     pub fn bad(&self) -> usize {
         self.bad
--- a/crates/decisions/src/query.rs
+++ b/crates/decisions/src/query.rs
@@ -1,6 +1,7 @@
 //! What is kept of an open query, its parts and their attempts. Nothing here decides anything.
 
-use crate::interface::{Nanos, ReplicaId, RequestId};
+use crate::interface::{Action, Nanos, Outcome, ReplicaId, RequestId};
+use crate::replica_table::Connection;
 
 /// One attempt of a part at a replica.
 #[derive(Clone, Debug, Default)]
@@ -13,6 +14,23 @@
     pub broke: bool,
 }
 
+impl Attempt {
+    /// Takes its end down.
+    pub fn end(&mut self, outcome: Outcome) {
+        self.out = false;
+        self.broke = outcome == Outcome::Broken;
+        self.never_ran = outcome.never_ran();
+    }
+}
+
+/// Where an attempt that is out went, and when.
+#[derive(Debug)]
+pub struct InFlight {
+    pub replica: ReplicaId,
+    pub sent: Nanos,
+    pub connection: Connection,
+}
+
 /// A part of a query.
 #[derive(Debug, Default)]
 pub struct Part {
@@ -35,22 +53,45 @@
     pub group: u32,
     pub class: usize,
     pub arrived: Nanos,
-    pub aim: Nanos,
+    /// An answer until then earns its full worth.
+    pub target: Nanos,
     pub deadline: Nanos,
-    /// A repeat by a client that gives up its tries before the aim.
-    pub hasty: bool,
-    /// The aim had passed when it came; `aim` is its deadline then.
-    pub late: bool,
+    /// A repeat by a client that gives up its tries before the target.
+    pub gives_up_early: bool,
+    /// The target had passed when it came; `target` is its deadline then.
+    pub past_target: bool,
     pub step: u8,
     pub step_began: Nanos,
     pub first_whole: bool,
     pub parts: Vec<Part>,
 }
 
+impl Part {
+    /// Whether an attempt is out.
+    pub fn is_out(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.out)
+    }
+
+    /// Counts what is out as over; with `cancel`, replicas are asked to stop.
+    pub fn withdraw(&mut self, cancel: bool, actions: &mut Vec<Action>) {
+        for (number, attempt) in self.attempts.iter_mut().enumerate().filter(|(_, attempt)| attempt.out) {
+            attempt.out = false;
+            if cancel {
+                actions.push(Action::Cancel { part: self.id, attempt: number as u8 });
+            }
+        }
+    }
+}
+
 impl Query {
+    /// The parts of the step that it is in.
+    pub fn in_step(&self) -> impl Iterator<Item = &Part> {
+        self.parts.iter().filter(|part| part.step == self.step)
+    }
+
     /// Weight of the parts of its step that have landed.
     pub fn landed(&self) -> f64 {
-        self.parts.iter().filter(|p| p.step == self.step && p.landed).map(|p| p.weight).sum()
+        self.in_step().filter(|part| part.landed).map(|part| part.weight).sum()
     }
 
     /// The numbers of its parts, lightest first.
--- a/crates/decisions/src/replica_table.rs
+++ b/crates/decisions/src/replica_table.rs
@@ -6,10 +6,11 @@
 
 use crate::interface::{Member, Nanos, ReplicaId, Standing};
 use crate::open_parts::OpenParts;
+use crate::statistics::{SmoothedMean, TimeWindow};
 use std::borrow::Cow;
 use std::cell::Cell;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap};
 
 /// Kind of connection that an attempt goes out on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -23,6 +24,13 @@
     Renewed,
 }
 
+/// While a replica is cold: since when it has its turn, and how much that adds to its room.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Turn {
+    pub since: Nanos,
+    pub room: f64,
+}
+
 /// What was learned of one replica in traffic; the default of one that was never contacted.
 #[derive(Debug, Default, PartialEq)]
 pub struct Traffic {
@@ -32,19 +40,18 @@
     /// Last sign of life.
     pub heard: Nanos,
     /// Smoothed time in nanoseconds between two answers to us while it had work of ours, and the last answer.
-    pub pace: Option<f64>,
+    pub pace: SmoothedMean,
     pub answered: Nanos,
     /// What connection the last send had, and those of the attempts lost since it was last heard.
     pub connection: Connection,
     pub lost: Vec<Connection>,
     /// Times in a row that it was silent, until when it is then left alone, and until when it is taken to be full.
-    pub strikes: u32,
-    pub rests_until: Nanos,
+    pub silences: u32,
+    pub backoff_until: Nanos,
     pub full_until: Nanos,
-    /// Times of the latest sends, oldest first.
-    pub sends: VecDeque<Nanos>,
-    /// While it is cold: since when it has its turn, and how much that adds to its room.
-    pub turn: (Nanos, f64),
+    /// The latest sends, kept where the settings tell of a slow start.
+    pub sends: TimeWindow,
+    pub turn: Turn,
     open: OpenParts,
 }
 
@@ -59,15 +66,15 @@
     latency: None,
     learned: 0,
     heard: 0,
-    pace: None,
+    pace: SmoothedMean::NONE,
     answered: 0,
     connection: Connection::InUse,
     lost: Vec::new(),
-    strikes: 0,
-    rests_until: 0,
+    silences: 0,
+    backoff_until: 0,
     full_until: 0,
-    sends: VecDeque::new(),
-    turn: (0, 0.0),
+    sends: TimeWindow::EMPTY,
+    turn: Turn { since: 0, room: 0.0 },
     open: OpenParts::NONE,
 };
 
@@ -121,6 +128,17 @@
         self.traffic.as_deref().unwrap_or(&NO_TRAFFIC)
     }
 
+    /// How long the oldest part of ours has been out there without a sign of life.
+    pub fn oldest_age(&self, now: Nanos) -> Nanos {
+        let traffic = self.traffic();
+        traffic.open.oldest().map_or(0, |sent| now - sent.max(traffic.heard))
+    }
+
+    /// Whether a part that was sent to it at `now` is out.
+    pub fn sent_to(&self, now: Nanos) -> bool {
+        self.traffic().open.newest() == Some(now)
+    }
+
     fn suspected_and_ready(&self) -> bool {
         self.suspected && self.is_ready()
     }
@@ -175,9 +193,9 @@
         }
     }
 
-    /// How many parts may share a call.
-    pub fn call_parts(&self) -> u32 {
-        self.call_parts
+    /// Calls of ours that are out at a replica; one opened at `now` that has room for one more part is not counted.
+    pub fn open_calls(&self, replica: &Replica, now: Nanos) -> u32 {
+        replica.traffic().open.calls(now, self.call_parts)
     }
 
     /// How many replicas are known, those gone and not forgotten included.
@@ -350,10 +368,8 @@
     /// Keeps the time of a send that is made now, and those of the sends since `since`.
     pub fn note_send(&mut self, slot: Slot, now: Nanos, since: Nanos) {
         let sends = &mut self.traffic_mut(slot).sends;
-        sends.push_back(now);
-        while sends.front().is_some_and(|at| *at < since) {
-            sends.pop_front();
-        }
+        sends.push(now);
+        sends.forget_before(since);
     }
 
     /// Counts a part that was sent to a replica at `sent` as back.
@@ -425,7 +441,8 @@
     fn restart(&mut self, started: Nanos) {
         (self.started, self.suspected) = (started, false);
         if let Some(traffic) = &mut self.traffic {
-            (traffic.latency, traffic.pace, traffic.answered, traffic.strikes) = (None, None, 0, 0);
+            (traffic.latency, traffic.answered, traffic.silences) = (None, 0, 0);
+            traffic.pace = SmoothedMean::NONE;
         }
         self.traffic = self.traffic.take().filter(|traffic| **traffic != NO_TRAFFIC);
     }
--- a/crates/decisions/tests/due_queries.rs
+++ b/crates/decisions/tests/due_queries.rs
@@ -16,7 +16,7 @@
     let mut script = Script::new(seed);
     let mut normal = Coordinator::new(script.settings(), seed);
     let mut thorough = Coordinator::new(script.settings(), seed);
-    thorough.tend_all();
+    thorough.advance_all();
     let (mut actions, mut kinds) = (Vec::new(), BTreeMap::new());
     for batch in 0..BATCHES {
         let (now, events) = script.batch(&actions);
@@ -30,7 +30,7 @@
             *kinds.entry(kind(action)).or_default() += 1;
         }
     }
-    (kinds, normal.queries_tended(), thorough.queries_tended())
+    (kinds, normal.queries_advanced(), thorough.queries_advanced())
 }
 
 fn kind(action: &Action) -> &'static str {
--- a/crates/decisions/tests/scale.rs
+++ b/crates/decisions/tests/scale.rs
@@ -121,9 +121,9 @@
     }
     let mut tended = Vec::new();
     let mut batch = |fleet: &mut Fleet, events: &[Event]| {
-        let before = fleet.module.queries_tended();
+        let before = fleet.module.queries_advanced();
         fleet.batch(5, events);
-        tended.push(fleet.module.queries_tended() - before);
+        tended.push(fleet.module.queries_advanced() - before);
     };
     batch(&mut fleet, &query(1000));
     for answer in fleet.outcomes(Outcome::Ok) {
