Apply lists by their changes, from compact records that hold each name once

Cause: `Replicas::take` walked all that is known twice for every list, and an entry was held in two trees with its name in both; a whole list of 110,000 leaf servers (14.5 MB) was over `MOST_OBJECT` (4 MiB) and so refused.

Change: records of 56 bytes in a table of their own (`routing::replica_table`: by number and by name, a name stored once), what is gone forgotten by a queue of expiry, those ready counted, links in a map of those that have any. A whole list is applied as what differs from the list in force and whom it leaves out as gone; the decision module gets that as changes. Entries are read one by one, borrowing their text; addresses are read at once and zones are shared. One message takes at most 131,072 entries and 256 bytes an entry on the mean (32 MiB), and a quarter of the memory limit where the configuration states one, never under the 4 MiB of before. The read buffer goes with the object, and the remembered list of the configuration after the start. What is wrong with a list is counted in `bad_lists`.

--- a/crates/cottonhill/src/program.rs
+++ b/crates/cottonhill/src/program.rs
@@ -88,7 +88,9 @@
 
 async fn serve(mut running: Running, usage: Option<UsageLog>) -> Done {
     let (tell, told) = mpsc::channel(1);
-    let Config { name, listen, site, settings, seed, descriptors, known, addresses, names } =
+    // A list may be large, and only the start needs this one.
+    let known = std::mem::take(&mut running.config.known);
+    let Config { name, listen, site, settings, seed, descriptors, memory, addresses, names, .. } =
         running.config.clone();
     let fronts = fronts::open(&running.own).await?;
     running.tls = fronts.tls;
@@ -123,6 +125,10 @@
         None => None,
     };
     let mut state = State::new(clock.now(), site, settings, seed, &known, descriptors);
+    drop(known);
+    if let Some(memory) = memory {
+        state.limit_memory(memory);
+    }
     if let Some(usage) = &usage {
         state.record_usage(usage.mark.as_nanos() as u64);
     }
--- a/crates/mixer/src/config.rs
+++ b/crates/mixer/src/config.rs
@@ -14,10 +14,22 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    /// A number; anything else states no limit.
+    #[serde(default)]
+    memory_mb: Value,
+}
+
+impl Limits {
+    /// Bytes of memory that may be used, where that is stated.
+    fn memory(&self) -> Option<usize> {
+        let bytes = self.memory_mb.as_f64()? * MEGABYTE;
+        (bytes >= 1.0).then_some(bytes as usize)
+    }
 }
 
-/// Descriptors that may be held where the configuration does not say.
+/// Descriptors that may be open where the configuration does not say.
 const SOCKETS: usize = 1024;
+const MEGABYTE: f64 = 1e6;
 
 #[derive(Deserialize)]
 struct File {
@@ -44,14 +56,21 @@
     pub site: Site,
     pub settings: Settings,
     pub seed: u64,
-    /// File descriptors that may be held.
+    /// File descriptors that may be open.
     pub descriptors: usize,
+    /// Bytes of memory that the process may use, where that is stated.
+    pub memory: Option<usize>,
+    /// The list of leaf servers that was in force before the start; it may be old.
     pub known: Listing,
     pub addresses: Addresses,
     pub names: Names,
 }
 
 impl Config {
+    /// Reads the platform's configuration.
+    ///
+    /// # Errors
+    /// It is no JSON of that form, or a setting or the seed can't be used; says which.
     pub fn read(text: &str) -> Result<Config, String> {
         let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let text = flatten(&file.settings)?;
@@ -70,9 +89,10 @@
             peers: file.peers,
             peers_all: file.peers_all,
         };
-        let descriptors = file.limits.map_or(SOCKETS, |limits| limits.sockets.min(SOCKETS));
+        let descriptors = file.limits.as_ref().map_or(SOCKETS, |limits| limits.sockets.min(SOCKETS));
+        let memory = file.limits.as_ref().and_then(Limits::memory);
         let File { name, listen, known, .. } = file;
-        Ok(Config { name, listen, site, settings, seed, descriptors, known, addresses, names })
+        Ok(Config { name, listen, site, settings, seed, descriptors, memory, known, addresses, names })
     }
 }
 
@@ -82,7 +102,7 @@
         let changed = [
             ("name", self.name != next.name),
             ("listen", self.listen != next.listen),
-            ("limits", self.descriptors != next.descriptors),
+            ("limits", (self.descriptors, self.memory) != (next.descriptors, next.memory)),
             ("peer_listen", self.addresses.peer_listen != next.addresses.peer_listen),
             ("settings", self.site != next.site || self.settings != next.settings),
         ];
--- a/crates/mixer/src/protocol/http.rs
+++ b/crates/mixer/src/protocol/http.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 as the client side and the discovery agent speak it: a server codec for whole requests and a
 //! client codec for one watch. Bodies have a length or come in chunks; a request's holds 64 KiB at most.
 
-use super::discovery::{Objects, MOST_OBJECT};
+use super::discovery::{Objects, Refused, MOST_OBJECT};
 use crate::interface::Nanos;
 use bytes::{Buf, Bytes, BytesMut};
 use std::io::{self, ErrorKind};
@@ -300,10 +300,17 @@
 }
 
 /// The client's side of one watch: a request out, then objects as they come.
-#[derive(Default)]
 pub struct WatchCodec {
     body: Option<Body>,
     objects: Objects,
+    /// The most bytes of one object.
+    most: usize,
+}
+
+impl Default for WatchCodec {
+    fn default() -> WatchCodec {
+        WatchCodec::new(MOST_OBJECT)
+    }
 }
 
 impl Encoder<WatchRequest> for WatchCodec {
@@ -346,6 +353,11 @@
 }
 
 impl WatchCodec {
+    /// One that reads objects of at most so many bytes.
+    pub fn new(most: usize) -> WatchCodec {
+        WatchCodec { body: None, objects: Objects::default(), most }
+    }
+
     fn read_head(src: &mut BytesMut) -> io::Result<Option<Body>> {
         let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
         let mut parsed = httparse::Response::new(&mut headers);
@@ -378,9 +390,10 @@
         }
         let Some(body) = &mut self.body else { return Ok(None) };
         let before = src.len();
-        let whole = body.read(src, self.objects.held(), MOST_OBJECT).map_err(|broken| match broken {
+        let most = self.most;
+        let whole = body.read(src, self.objects.buffer(), most).map_err(|broken| match broken {
             Broken::Chunk => invalid("bad chunk"),
-            Broken::TooLarge => invalid(format!("an object of over {MOST_OBJECT} bytes")),
+            Broken::TooLarge => io::Error::new(ErrorKind::InvalidData, Refused::TooManyBytes { most }),
         })?;
         let object = self.objects.whole().or((src.len() < before).then(Bytes::new));
         if object.is_none() && whole {
--- a/crates/mixer/src/routing/counters.rs
+++ b/crates/mixer/src/routing/counters.rs
@@ -19,7 +19,9 @@
     pub ended: Ended,
     pub answered: Answered,
     pub connections: Connections,
+    /// Lists applied, whole ones and changes.
     pub lists: u64,
+    pub bad_lists: BadLists,
     pub watches: Watches,
     /// Records of use handed on; 0 where none are kept.
     pub recorded: u64,
@@ -97,12 +99,32 @@
     pub ended: u64,
     /// Of those ended, the ones that had fallen silent.
     pub silent: u64,
-    /// Parts withdrawn before their first byte since a list told that their replica leaves or has moved.
+    /// Parts withdrawn before their first byte since a list announced that their replica leaves or has moved.
     pub withdrawn: u64,
-    /// Starts that went on from the list held before, as discovery was silent.
+    /// Starts that went on from the remembered list, as discovery was silent.
     pub unheard: u64,
 }
 
+/// What was wrong with what discovery sent; each is logged with where it was found. A message that is refused leaves
+/// the list in force as it is, and the whole list is asked for.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct BadLists {
+    /// Messages refused since they are longer than any that is accepted.
+    pub over_bound: u64,
+    /// Messages refused since they can't be read, or change nobody knows whom.
+    pub unreadable: u64,
+    /// Changes refused since their version is below the one in force.
+    pub went_back: u64,
+    /// Whole lists taken whose version is below the one before: discovery began anew.
+    pub whole_went_back: u64,
+    /// Entries that can't be used: whom they name gets nothing new.
+    pub unusable: u64,
+    /// Entries of a name that came before in the same list: the last one holds.
+    pub repeated: u64,
+    /// Entries that take away a server that was not listed.
+    pub unknown: u64,
+}
+
 /// Times the configuration was read again.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Reloads {
--- a/crates/mixer/src/routing/messages.rs
+++ b/crates/mixer/src/routing/messages.rs
@@ -18,7 +18,24 @@
 pub enum WatchNews {
     Asked,
     Alive,
-    Ended { silent: bool },
+    Ended {
+        silent: bool,
+    },
+    /// A message was refused; the list in force stays and is asked for whole.
+    Refused(ListFault),
+    /// A whole list came whose version is below the one before it; it is taken.
+    WentBack,
+}
+
+/// Why a message of discovery was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListFault {
+    /// Longer than any list that is accepted.
+    OverBound,
+    /// No list, or with changes of nobody.
+    Unreadable,
+    /// Changes up to a version below the one in force.
+    WentBack,
 }
 
 #[derive(Debug)]
--- a/crates/mixer/src/routing/replicas.rs
+++ b/crates/mixer/src/routing/replicas.rs
@@ -1,142 +1,318 @@
-//! The leaf servers as discovery has told them, and their numbers for the decision module.
+//! The leaf servers as discovery has announced them, and their numbers for the decision module. Changes are applied
+//! in time proportional to their entries, whatever the size of the fleet.
 
 use super::messages::LinkId;
-use crate::interface::{ListKind, Member, Nanos, ReplicaId, Standing};
-use crate::protocol::discovery::{Endpoint, Listing, Status};
-use std::collections::{BTreeMap, BTreeSet};
+use super::replica_table::{Replica, ReplicaTable, Slot};
+use crate::interface::{Member, Nanos, ReplicaId, Standing};
+use crate::protocol::discovery::{Address, Endpoint, Listing, Status};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 
-#[derive(Debug)]
-pub struct Replica {
-    pub address: SocketAddr,
-    pub zone: u16,
-    pub standing: Standing,
-    /// Its connections, oldest first; those to an address that it has left are not among them.
-    pub links: Vec<LinkId>,
-    started: Nanos,
-    /// When it was told gone.
-    gone: Option<Nanos>,
-}
-
 /// What a list changes.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Change {
-    pub kind: ListKind,
+    /// The entries of changes; of a whole list those that differ from what was in force, and what it leaves out as
+    /// gone.
     pub members: Vec<Member>,
-    /// The replicas that may get nothing new now.
+    /// The replicas that may get nothing new from now on.
     pub leaving: Vec<ReplicaId>,
     /// Connections to addresses that replicas have left.
     pub left: Vec<LinkId>,
+    /// Entries whose name had come before in the same list: the last one holds.
+    pub repeated: u64,
+    /// Entries that take away what was not in the list in force.
+    pub unknown: u64,
 }
 
-/// The replicas listed, and those gone that still have connections. Each name has one number while it is
-/// known; no number is given twice.
+/// The replicas listed, and those gone that still have connections or may be meant by a late list. Each name has one
+/// number while it is known; no number is given twice.
 #[derive(Debug, Default)]
 pub struct Replicas {
-    numbers: BTreeMap<String, ReplicaId>,
-    known: BTreeMap<ReplicaId, Replica>,
+    table: ReplicaTable,
+    /// Connections of each replica that has any, oldest first; those to an address that it has left are not among
+    /// them.
+    links: HashMap<ReplicaId, Vec<LinkId>>,
+    /// When those that are gone were announced so.
+    gone: HashMap<ReplicaId, Nanos>,
+    /// When those that are gone are to be forgotten, the first one first. One that has connections then is in it
+    /// again once they have ended.
+    expiry: BTreeSet<(Nanos, ReplicaId)>,
+    /// How many are ready.
+    ready: usize,
     last: u64,
     zones: Vec<String>,
-    /// The version of the last list taken.
+    /// The version of the list in force.
     pub index: u64,
     /// Until then lists may come from a discovery that is behind the one before it.
     behind_until: Nanos,
+    visited: u64,
 }
 
-/// Whatever discovery has to tell it tells within this time; what it says later is its last word.
+/// What discovery announces counts as announced within this time, ns; what it says later is its last word.
 pub const LATE: Nanos = 6_000_000_000;
 
+/// Entries of one list that are logged for what is odd about them; the counters have all.
+const MOST_LOGGED: u64 = 16;
+
 /// A zone that the settings do not name: nobody's own.
 const NO_ZONE: u16 = u16::MAX;
 
+/// An entry as it is applied.
+struct Stated {
+    name: Box<str>,
+    address: Address,
+    cell: u16,
+    zone: u16,
+    started: Nanos,
+    standing: Standing,
+}
+
+/// An entry that was applied.
+struct Put {
+    slot: Slot,
+    member: Member,
+    /// Something that the decision module knows has changed.
+    differs: bool,
+}
+
 impl Replicas {
+    /// None yet; `zones` are the names of the zones in the order of the settings.
     pub fn new(zones: Vec<String>) -> Replicas {
         Replicas { zones, ..Replicas::default() }
     }
 
+    /// A replica by its number.
     pub fn get(&self, id: ReplicaId) -> Option<&Replica> {
-        self.known.get(&id)
+        self.table.get(id)
     }
 
-    pub fn get_mut(&mut self, id: ReplicaId) -> Option<&mut Replica> {
-        self.known.get_mut(&id)
+    /// The number of a name.
+    pub fn id(&self, name: &str) -> Option<ReplicaId> {
+        self.table.at(self.table.slot_of_name(name)?).map(|replica| replica.id)
     }
 
     /// How many are known, those gone included.
     pub fn known(&self) -> usize {
-        self.known.len()
+        self.table.len()
     }
 
+    /// Whether any may get something new.
     pub fn any_ready(&self) -> bool {
-        self.known.values().any(|r| r.standing == Standing::Ready)
+        self.ready > 0
     }
 
-    /// Lists come from elsewhere from now on. That one may have yet to hear what was told before: until it must
+    /// Records that lists have looked at so far.
+    pub fn visited(&self) -> u64 {
+        self.visited
+    }
+
+    /// The connections to where a replica is, oldest first.
+    pub fn links(&self, id: ReplicaId) -> &[LinkId] {
+        self.links.get(&id).map_or(&[], Vec::as_slice)
+    }
+
+    /// Notes a new connection to a replica; returns where it leads, none where the replica is not known.
+    pub fn connect(&mut self, id: ReplicaId, link: LinkId) -> Option<SocketAddr> {
+        let address = self.table.get(id)?.address();
+        self.links.entry(id).or_default().push(link);
+        Some(address)
+    }
+
+    /// Notes that a connection has ended.
+    pub fn disconnect(&mut self, id: ReplicaId, link: LinkId) {
+        let Some(links) = self.links.get_mut(&id) else { return };
+        links.retain(|other| *other != link);
+        if links.is_empty() {
+            self.take_links(id);
+        }
+    }
+
+    /// Takes all connections off a replica.
+    fn take_links(&mut self, id: ReplicaId) -> Vec<LinkId> {
+        if let Some(since) = self.gone.get(&id) {
+            self.expiry.insert((since + LATE, id));
+        }
+        self.links.remove(&id).unwrap_or_default()
+    }
+
+    /// Lists come from elsewhere from now on. That one may have yet to hear what was announced before: until it must
     /// have, it brings nothing back that is leaving. Returns when that is.
     pub fn moved(&mut self, now: Nanos) -> Nanos {
         self.behind_until = now + LATE;
         self.behind_until
     }
 
-    /// Takes a list over.
-    pub fn take(&mut self, now: Nanos, listing: &Listing) -> Change {
-        self.index = listing.index;
-        // Those gone for long have nothing left to end, and no late list can mean them.
-        self.known.retain(|_, r| r.gone.is_none_or(|gone| now < gone + LATE) || !r.links.is_empty());
-        let known = &self.known;
-        self.numbers.retain(|_, id| known.contains_key(id));
-        let mut left = Vec::new();
-        let members: Vec<Member> =
-            listing.endpoints.iter().filter_map(|e| self.member(now, e, &mut left)).collect();
-        let mut leaving = Vec::new();
-        if listing.snapshot {
-            let listed: BTreeSet<ReplicaId> = members.iter().map(|m| m.replica).collect();
-            for (id, replica) in self.known.iter_mut().filter(|(id, _)| !listed.contains(id)) {
-                replica.standing = Standing::Gone;
-                replica.gone.get_or_insert(now);
-                leaving.push(*id);
+    /// Applies a list, whole or changed.
+    pub fn take(&mut self, now: Nanos, listing: Listing) -> Change {
+        let Listing { index, snapshot, endpoints, .. } = listing;
+        self.apply(now, index, snapshot, endpoints.into_iter())
+    }
+
+    /// The same with a list that is kept elsewhere.
+    pub fn take_copy(&mut self, now: Nanos, listing: &Listing) -> Change {
+        self.apply(now, listing.index, listing.snapshot, listing.endpoints.iter().cloned())
+    }
+
+    fn apply(
+        &mut self, now: Nanos, index: u64, whole: bool, entries: impl ExactSizeIterator<Item = Endpoint>,
+    ) -> Change {
+        self.forget(now);
+        if self.table.is_empty() {
+            self.table.reserve(entries.len());
+        }
+        let mut change = Change::default();
+        let mut listed: HashSet<Slot> = HashSet::with_capacity(entries.len());
+        for entry in entries {
+            self.visited += 1;
+            let known = self.table.slot_of_name(&entry.name);
+            if known.is_none() && takes_away(&entry, whole) {
+                change.unknown += 1;
+                if change.unknown <= MOST_LOGGED {
+                    let (name, status) = (&entry.name, entry.status);
+                    let (in_force, known) = (self.index, self.table.len());
+                    tracing::info!(
+                        index,
+                        name,
+                        ?status,
+                        in_force,
+                        known,
+                        "takes away a server that is not listed"
+                    );
+                }
+            }
+            let Some(stated) = self.stated(now, entry, known) else { continue };
+            let put = self.put(now, stated, known, &mut change.left);
+            let Some(Put { slot, member, differs }) = put else { continue };
+            if !listed.insert(slot) {
+                change.repeated += 1;
+                if change.repeated <= MOST_LOGGED {
+                    let (name, standing) =
+                        (self.table.at(slot).map(|replica| &*replica.name), member.standing);
+                    tracing::warn!(index, name, ?standing, "listed twice in one list: the last entry holds");
+                }
             }
+            if differs || !whole {
+                change.members.push(member);
+            }
+        }
+        if whole {
+            self.remove_unlisted(now, &listed, &mut change.members);
         }
-        leaving.extend(members.iter().filter(|m| m.standing != Standing::Ready).map(|m| m.replica));
-        let kind = if listing.snapshot { ListKind::Full } else { ListKind::Changes };
-        Change { kind, members, leaving, left }
-    }
-
-    fn member(&mut self, now: Nanos, endpoint: &Endpoint, left: &mut Vec<LinkId>) -> Option<Member> {
-        let number = self.numbers.get(&endpoint.name).copied();
-        let held = number.and_then(|id| self.known.get(&id));
-        let known = held.map(|r| r.address);
-        let started = endpoint.since_ms.saturating_mul(1_000_000);
-        let leaving = held.filter(|r| r.standing != Standing::Ready && started <= r.started);
-        let leaving = leaving.filter(|_| now < self.behind_until).map(|r| r.standing);
-        let stated = endpoint.address.parse().ok();
-        if stated.is_none() && endpoint.status == Status::Up {
-            let Endpoint { name, address, .. } = endpoint;
-            tracing::warn!(name, address, "listed as up without a usable address");
+        self.index = index;
+        let leaves =
+            |member: &&Member| self.get(member.replica).is_some_and(|r| r.standing != Standing::Ready);
+        change.leaving = change.members.iter().filter(leaves).map(|member| member.replica).collect();
+        change
+    }
+
+    /// Forgets those that are gone for long: they have nothing left to end, and no late list can mean them.
+    fn forget(&mut self, now: Nanos) {
+        while let Some((due, id)) = self.expiry.first().copied().filter(|(due, _)| *due <= now) {
+            self.expiry.remove(&(due, id));
+            self.visited += 1;
+            if !self.links.contains_key(&id) {
+                self.gone.remove(&id);
+                self.table.remove(id);
+            }
         }
-        let standing = match endpoint.status {
+    }
+
+    /// What an entry states, given the record of its name; none where nobody knows its address.
+    fn stated(&self, now: Nanos, entry: Endpoint, known: Option<Slot>) -> Option<Stated> {
+        let known = known.and_then(|slot| self.table.at(slot));
+        let started = entry.since_ms.saturating_mul(1_000_000);
+        let behind = now < self.behind_until;
+        let leaving = known.filter(|r| behind && r.standing != Standing::Ready && started <= r.started);
+        let standing = match entry.status {
             // What is up can't be reached without an address; it may have left where it was.
-            Status::Up if stated.is_some() => leaving.unwrap_or(Standing::Ready),
+            Status::Up if entry.address.is_some() => leaving.map_or(Standing::Ready, |r| r.standing),
             Status::Up | Status::Draining => Standing::Draining,
             Status::Removed => Standing::Gone,
         };
-        let address = stated.or(known)?;
-        let id = *self.numbers.entry(endpoint.name.clone()).or_insert_with(|| {
-            self.last += 1;
-            // Numbers are this process's own: the name is what ties the logs of a fleet together.
-            tracing::debug!(replica = self.last, name = endpoint.name, %address, "replica numbered");
-            ReplicaId(self.last)
-        });
-        let zone = self.zones.iter().position(|zone| *zone == endpoint.zone);
+        let address = entry.address.or_else(|| known.map(|r| r.address.clone()))?;
+        let zone = self.zones.iter().position(|zone| **zone == *entry.zone);
         let zone = zone.map_or(NO_ZONE, |zone| zone as u16);
-        let new = Replica { address, zone, standing, links: Vec::new(), started, gone: None };
-        let replica = self.known.entry(id).or_insert(new);
-        if replica.address != address {
-            left.append(&mut replica.links);
+        Some(Stated { name: entry.name, address, cell: entry.group, zone, started, standing })
+    }
+
+    /// Puts what is stated of a name into its record, which is a new one where there is none.
+    fn put(
+        &mut self, now: Nanos, stated: Stated, known: Option<Slot>, left: &mut Vec<LinkId>,
+    ) -> Option<Put> {
+        let Stated { name, address, cell, zone, started, standing } = stated;
+        let slot = known.unwrap_or_else(|| self.add(name, address.clone(), started));
+        let replica = self.table.at_mut(slot)?;
+        let id = replica.id;
+        let member = Member { replica: id, cell, zone, started, standing };
+        let same = (replica.cell, replica.zone, replica.standing) == (cell, zone, standing)
+            && replica.started == started
+            && !replica.started_earlier;
+        let moved = replica.address != address;
+        replica.started_earlier = started < replica.started;
+        replica.started = started.max(replica.started);
+        (replica.address, replica.cell, replica.zone) = (address, cell, zone);
+        self.stand(now, slot, standing);
+        if moved {
+            left.extend(self.take_links(id));
         }
-        let gone = (standing == Standing::Gone).then(|| replica.gone.unwrap_or(now));
-        (replica.address, replica.zone, replica.standing) = (address, zone, standing);
-        (replica.started, replica.gone) = (started.max(replica.started), gone);
-        Some(Member { replica: id, cell: endpoint.group, zone, started, standing })
+        Some(Put { slot, member, differs: known.is_none() || !same })
+    }
+
+    /// Adds a record under the next number, for what is stated of it to be put in.
+    fn add(&mut self, name: Box<str>, address: Address, started: Nanos) -> Slot {
+        self.last += 1;
+        let id = ReplicaId(self.last);
+        // Numbers are this process's own: the name is what ties the logs of a fleet together.
+        tracing::debug!(replica = id.0, name, address = %SocketAddr::from(&address), "replica numbered");
+        let (cell, zone, standing) = (0, NO_ZONE, Standing::Draining);
+        self.table.insert(Replica {
+            id,
+            name,
+            address,
+            started,
+            cell,
+            zone,
+            standing,
+            started_earlier: false,
+        })
+    }
+
+    /// Sets how a replica stands, with all that is counted by it.
+    fn stand(&mut self, now: Nanos, slot: Slot, standing: Standing) {
+        let Some(replica) = self.table.at_mut(slot) else { return };
+        let (id, before) = (replica.id, std::mem::replace(&mut replica.standing, standing));
+        self.ready -= usize::from(before == Standing::Ready);
+        self.ready += usize::from(standing == Standing::Ready);
+        if standing != Standing::Gone {
+            if let Some(since) = self.gone.remove(&id) {
+                self.expiry.remove(&(since + LATE, id));
+            }
+        } else {
+            let since = *self.gone.entry(id).or_insert(now);
+            self.expiry.insert((since + LATE, id));
+        }
+    }
+
+    /// Whom a whole list leaves out is gone.
+    fn remove_unlisted(&mut self, now: Nanos, listed: &HashSet<Slot>, members: &mut Vec<Member>) {
+        self.visited += self.table.len() as u64;
+        let unlisted = |(slot, r): &(Slot, &Replica)| r.standing != Standing::Gone && !listed.contains(slot);
+        let mut unlisted: Vec<(ReplicaId, Slot)> =
+            self.table.iter().filter(unlisted).map(|(slot, r)| (r.id, slot)).collect();
+        unlisted.sort_unstable();
+        for (replica, slot) in unlisted {
+            self.stand(now, slot, Standing::Gone);
+            let Some(&Replica { cell, zone, started, standing, .. }) = self.table.at(slot) else { continue };
+            members.push(Member { replica, cell, zone, started, standing });
+        }
+    }
+}
+
+/// Whether an entry only takes away: of a name that is not known it changes nothing that was in force.
+fn takes_away(entry: &Endpoint, whole: bool) -> bool {
+    match entry.status {
+        Status::Up => false,
+        Status::Draining => !whole,
+        Status::Removed => true,
     }
 }
--- a/crates/mixer/src/routing/state/attempts.rs
+++ b/crates/mixer/src/routing/state/attempts.rs
@@ -152,7 +152,7 @@
                 it.idle_since = now;
                 // One that leads to where its replica no longer is has no future either.
                 let wanted = self.replicas.get(id).filter(|r| r.standing == Standing::Ready);
-                if !wanted.is_some_and(|r| r.links.contains(&link)) {
+                if wanted.is_none() || !self.replicas.links(id).contains(&link) {
                     self.close_link(now, link);
                 } else {
                     let due = now + self.site.idle_time / 10 * IDLE_TENTHS;
--- a/crates/mixer/src/routing/state/links.rs
+++ b/crates/mixer/src/routing/state/links.rs
@@ -5,7 +5,7 @@
 use crate::protocol::discovery::Listing;
 use crate::protocol::leaf::{End, FromLeaf};
 use crate::routing::link::{Answered, Link, Phase};
-use crate::routing::messages::{Effect, LinkId, WatchNews};
+use crate::routing::messages::{Effect, LinkId, ListFault, WatchNews};
 use crate::routing::replicas::Change;
 use std::net::SocketAddr;
 
@@ -13,20 +13,27 @@
 const LEAST_STUCK: Nanos = 25 * MS;
 
 impl State {
-    pub(super) fn take_list(&mut self, now: Nanos, listing: &Listing) {
-        self.counters.lists += 1;
-        let Change { kind, members, leaving, left } = self.replicas.take(now, listing);
+    /// Puts a list in force.
+    pub(super) fn take_list(&mut self, now: Nanos, listing: Listing) {
         let (index, lines, whole) = (listing.index, listing.endpoints.len(), listing.snapshot);
+        let unusable = listing.unusable as u64;
+        let Change { members, leaving, left, repeated, unknown } = self.replicas.take(now, listing);
+        self.counters.lists += 1;
+        self.counters.bad_lists.unusable += unusable;
+        self.counters.bad_lists.repeated += repeated;
+        self.counters.bad_lists.unknown += unknown;
         let since_heard_ms = now.saturating_sub(self.heard) / MS;
-        tracing::debug!(index, lines, whole, leaving = leaving.len(), since_heard_ms, "list taken");
+        let (changed, leave) = (members.len(), leaving.len());
+        tracing::debug!(index, lines, whole, changed, leaving = leave, since_heard_ms, "list taken");
         self.heard = now;
         self.listed |= self.replicas.any_ready();
-        self.events.push(Event::List { kind, members });
+        // A whole list comes as what it changes too: whom it leaves out is among its members as gone.
+        self.events.push(Event::List { kind: ListKind::Changes, members });
         // What waits for a replica that drains or is gone never goes out: the rule counts its first byte. Nor does
         // what waits for an address that was left; others go on at the new one.
         for id in leaving {
-            tracing::debug!(replica = id.0, index, "replica told leaving");
-            for link in self.replicas.get(id).map(|r| r.links.clone()).unwrap_or_default() {
+            tracing::debug!(replica = id.0, index, "replica announced as leaving");
+            for link in self.replicas.links(id).to_vec() {
                 self.withdraw(now, link);
             }
         }
@@ -73,6 +80,15 @@
                 watches.ended += 1;
                 watches.silent += u64::from(silent);
             }
+            WatchNews::Refused(fault) => {
+                let bad = &mut self.counters.bad_lists;
+                *match fault {
+                    ListFault::OverBound => &mut bad.over_bound,
+                    ListFault::Unreadable => &mut bad.unreadable,
+                    ListFault::WentBack => &mut bad.went_back,
+                } += 1;
+            }
+            WatchNews::WentBack => self.counters.bad_lists.whole_went_back += 1,
         }
     }
 
@@ -174,9 +190,7 @@
         if let Some(at) = it.idle_alarm {
             self.alarms.remove(&(at, Alarm::Idle(link)));
         }
-        if let Some(replica) = self.replicas.get_mut(id) {
-            replica.links.retain(|other| *other != link);
-        }
+        self.replicas.disconnect(id, link);
         let (attempts, probes) = it.end();
         for (attempt, may_have_run) in attempts {
             let outcome = if may_have_run { Outcome::Broken } else { Outcome::Unreachable };
@@ -202,9 +216,8 @@
             return None;
         }
         let link = self.id();
-        let replica = self.replicas.get_mut(id)?;
-        replica.links.push(link);
-        self.effects.push(Effect::Connect { link, address: replica.address });
+        let address = self.replicas.connect(id, link)?;
+        self.effects.push(Effect::Connect { link, address });
         self.counters.connections.opened += 1;
         self.links.insert(link, (id, Link::new(now)));
         self.alarms.insert((now + self.site.connect_timeout, Alarm::Connect(link)));
@@ -224,10 +237,9 @@
 
     /// A connection with room, the oldest first so that few stay in use; a new one where none has any.
     pub(super) fn link_for(&mut self, now: Nanos, id: ReplicaId, wire: &str) -> Option<LinkId> {
-        let replica = self.replicas.get(id)?;
         let fits =
             |link: &&LinkId| self.links.get(link).is_some_and(|(_, it)| it.has_room(self.site.streams, wire));
-        match replica.links.iter().find(fits) {
+        match self.replicas.links(id).iter().find(fits) {
             Some(link) => Some(*link),
             None => self.open_link(now, id),
         }
--- a/crates/mixer/src/routing/state/mod.rs
+++ b/crates/mixer/src/routing/state/mod.rs
@@ -245,7 +245,7 @@
             counters: Counters::default(),
             recording: None,
         };
-        let members = state.replicas.take(now, known).members;
+        let members = state.replicas.take_copy(now, known).members;
         state.listed = state.replicas.any_ready();
         state.events.push(Event::List { kind: ListKind::Remembered, members });
         state.turn(now);
@@ -259,7 +259,12 @@
         self.watching.clone()
     }
 
-    /// The version of the list that is held: where a watch goes on from.
+    /// The process may hold so many bytes; bounds the lists that are accepted.
+    pub fn limit_memory(&mut self, memory: usize) {
+        self.watching.limit_memory(memory);
+    }
+
+    /// The version of the list in force: where a watch goes on from.
     pub fn list_index(&self) -> u64 {
         self.replicas.index
     }
@@ -317,7 +322,7 @@
                 }
                 self.link_ended(now, link);
             }
-            Input::Listed(listing) => self.take_list(now, &listing),
+            Input::Listed(listing) => self.take_list(now, listing),
             Input::Watch(news) => self.watched(now, news),
             Input::Datagram { from, bytes } => self.events.push(Event::Message { from, bytes }),
             Input::Reloaded { discovery } => self.reloaded(now, discovery),
--- a/crates/mixer/src/routing/state/turns.rs
+++ b/crates/mixer/src/routing/state/turns.rs
@@ -99,8 +99,7 @@
             Action::Subscribe { .. } | Action::FetchList => {}
             Action::Probe { replica } => self.probe(now, replica),
             Action::CloseIdle { replica } => {
-                let links = self.replicas.get(replica).map(|r| r.links.clone()).unwrap_or_default();
-                for link in links {
+                for link in self.replicas.links(replica).to_vec() {
                     if self.links.get(&link).is_some_and(|(_, it)| it.is_idle()) {
                         self.close_link(now, link);
                     }
--- a/crates/mixer/src/routing/watching.rs
+++ b/crates/mixer/src/routing/watching.rs
@@ -9,6 +9,7 @@
 //!   mixer go without asking.
 
 use super::backoff::Backoff;
+use crate::protocol::discovery::{self, MOST_OBJECT};
 use std::time::Duration;
 
 /// Which way holds, with the time that bounds it.
@@ -59,12 +60,24 @@
 pub struct Watching {
     way: Way,
     backoff: Backoff,
+    /// The most bytes of one message.
+    most_object: usize,
 }
 
 impl Watching {
     /// For one of so many `mixers`; they must have different seeds, or they would ask alike.
     pub fn new(way: Way, seed: u64, mixers: u32) -> Watching {
-        Watching { way, backoff: Backoff::new(seed, mixers, apart(way)) }
+        Watching { way, backoff: Backoff::new(seed, mixers, apart(way)), most_object: MOST_OBJECT }
+    }
+
+    /// The process may hold so many bytes: a list takes its share of them at most.
+    pub fn limit_memory(&mut self, memory: usize) {
+        self.most_object = discovery::most_object(memory);
+    }
+
+    /// The most bytes of one message of discovery; a longer one is refused.
+    pub fn most_object(&self) -> usize {
+        self.most_object
     }
 
     /// For a connection to come up.
--- a/crates/mixer/src/transport/watch.rs
+++ b/crates/mixer/src/transport/watch.rs
@@ -1,11 +1,12 @@
 //! The watch on discovery: one long answer, asked for again whenever it ends or falls silent.
 
 use super::Shared;
-use crate::protocol::discovery::{self, Listing};
+use crate::protocol::discovery::{self, Listing, Refused};
 use crate::protocol::http::{TurnedAway, WatchCodec, WatchRequest};
-use crate::routing::messages::WatchNews;
+use crate::routing::messages::{ListFault, WatchNews};
 use crate::routing::watching::Ended;
 use crate::routing::{Input, Watching};
+use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -13,7 +14,7 @@
 use tokio::time::{sleep, timeout, Instant};
 use tokio_util::codec::Framed;
 
-/// One mixer's way with one discovery.
+/// One mixer's watch on one discovery, over all its connections.
 struct Follower {
     shared: Shared,
     watching: Watching,
@@ -22,12 +23,14 @@
     index: Option<u64>,
     /// This watch has brought a sign of life.
     had: bool,
+    /// The last message that was no sign of life was refused.
+    refused: bool,
 }
 
 /// Follows the list from version `index` on, or from the whole list, for ever.
 pub async fn follow(shared: Shared, address: SocketAddr, index: Option<u64>) {
     let watching = shared.watching.clone();
-    let mut follower = Follower { shared, watching, address, index, had: false };
+    let mut follower = Follower { shared, watching, address, index, had: false, refused: false };
     let mut failing = false;
     loop {
         follower.had = false;
@@ -35,7 +38,7 @@
         let Err(why) = follower.watch().await else { continue };
         failing &= !follower.had;
         let silent = why.kind() == ErrorKind::TimedOut;
-        follower.tell(Input::Watch(WatchNews::Ended { silent })).await;
+        follower.report(Input::Watch(WatchNews::Ended { silent })).await;
         let retry_after =
             why.get_ref().and_then(|e| e.downcast_ref::<TurnedAway>()).and_then(|e| e.retry_after);
         let ended = Ended { lasted: began.elapsed(), had: follower.had, silent, retry_after };
@@ -44,8 +47,8 @@
         if !failing {
             tracing::info!(%address, index, wait_ms, "watch on discovery ended: {why}");
         } else {
-            // The first one said it; the log is not for the tries that follow.
-            tracing::debug!(%address, index, wait_ms, "discovery asked in vain again: {why}");
+            // The first one was logged; the log is not for the tries that follow.
+            tracing::debug!(%address, index, wait_ms, "discovery asked again without success: {why}");
         }
         failing = true;
         sleep(wait).await;
@@ -53,7 +56,7 @@
 }
 
 impl Follower {
-    async fn tell(&self, input: Input) {
+    async fn report(&self, input: Input) {
         let _ = self.shared.lists.send(input).await;
     }
 
@@ -61,42 +64,75 @@
     async fn watch(&mut self) -> io::Result<()> {
         let connect = timeout(self.watching.connect(), TcpStream::connect(self.address));
         let stream = connect.await.map_err(|_| ErrorKind::TimedOut)??;
-        let mut connection = self.shared.pool.frame::<WatchRequest, _, _>(stream, WatchCodec::default());
+        let codec = WatchCodec::new(self.watching.most_object());
+        let mut connection = self.shared.pool.frame::<WatchRequest, _, _>(stream, codec);
         let watched = self.read(&mut connection).await;
         self.shared.pool.recover(connection);
         watched
     }
 
-    /// What came is of no use. From the same version on it would come again, and what it was to tell is not known:
-    /// the whole list comes first.
-    fn astray(&mut self, why: String) -> io::Error {
+    /// A message can't be taken. From the same version on it would come again, and what it was to announce is not
+    /// known: the list in force stays, and the whole list is asked for next.
+    async fn refuse(&mut self, fault: ListFault, why: String) -> io::Error {
+        let (address, in_force) = (self.address, self.index);
+        if !std::mem::replace(&mut self.refused, true) {
+            tracing::warn!(%address, in_force, ?fault, "list refused, the one in force stays: {why}");
+        }
         self.index = None;
+        self.report(Input::Watch(WatchNews::Refused(fault))).await;
         io::Error::new(ErrorKind::InvalidData, why)
     }
 
+    /// The list in a message; none where it is a sign of life alone.
+    async fn listing(&mut self, message: io::Result<Bytes>) -> io::Result<Option<Listing>> {
+        let read = match message {
+            Ok(object) => discovery::read(&object),
+            Err(error) => match error.get_ref().and_then(|source| source.downcast_ref::<Refused>()) {
+                Some(refused) => Err(refused.clone()),
+                None => return Err(error),
+            },
+        };
+        match read {
+            Ok(listing) => Ok(listing),
+            Err(why) if why.is_over_bound() => Err(self.refuse(ListFault::OverBound, why.to_string()).await),
+            Err(why) => Err(self.refuse(ListFault::Unreadable, why.to_string()).await),
+        }
+    }
+
+    /// Refuses changes whose version is below the one in force. A whole list is right whatever its version: discovery
+    /// may have begun anew.
+    async fn check_version(&mut self, listing: &Listing) -> io::Result<()> {
+        let (index, address) = (listing.index, self.address);
+        let Some(in_force) = self.index.filter(|in_force| index < *in_force) else { return Ok(()) };
+        if listing.snapshot {
+            tracing::info!(%address, index, in_force, "a whole list of an earlier version is taken");
+            self.report(Input::Watch(WatchNews::WentBack)).await;
+            return Ok(());
+        }
+        let why =
+            format!("changes up to version {index}, {in_force} is in force: {in_force} or later is valid");
+        Err(self.refuse(ListFault::WentBack, why).await)
+    }
+
     async fn read(&mut self, connection: &mut Framed<TcpStream, WatchCodec>) -> io::Result<()> {
         let (host, from) = (self.address.to_string(), self.index);
         connection.send(WatchRequest { host, from }).await?;
         tracing::debug!(address = %self.address, from, "discovery asked");
-        self.tell(Input::Watch(WatchNews::Asked)).await;
+        self.report(Input::Watch(WatchNews::Asked)).await;
         loop {
             let most = if self.had { self.watching.silent() } else { self.watching.answer() };
-            let object = timeout(most, connection.next()).await.map_err(|_| ErrorKind::TimedOut)?;
-            let Some(object) = object else { return Err(ErrorKind::UnexpectedEof.into()) };
-            let listing = discovery::read(&object?).map_err(|why| self.astray(why))?;
+            let message = timeout(most, connection.next()).await.map_err(|_| ErrorKind::TimedOut)?;
+            let Some(message) = message else { return Err(ErrorKind::UnexpectedEof.into()) };
+            let listing = self.listing(message).await?;
             self.had = true;
             let Some(listing) = listing else {
-                self.tell(Input::Watch(WatchNews::Alive)).await;
+                self.report(Input::Watch(WatchNews::Alive)).await;
                 continue;
             };
-            let Listing { index, snapshot, .. } = listing;
-            if from.is_some_and(|from| index < from) && !snapshot {
-                let why =
-                    format!("changes up to version {index}, asked for from {}", from.unwrap_or_default());
-                return Err(self.astray(why));
-            }
-            self.tell(Input::Listed(listing)).await;
-            self.index = Some(index);
+            self.check_version(&listing).await?;
+            self.index = Some(listing.index);
+            self.refused = false;
+            self.report(Input::Listed(listing)).await;
             if from.is_none() {
                 return Ok(());
             }
