--- a/crates/mixer/tests/loopback/mod.rs
+++ b/crates/mixer/tests/loopback/mod.rs
@@ -36,6 +36,13 @@
 /// while anyone has something to do and else goes on to the next timer.
 pub fn run<F: Future<Output = ()>>(
     paused: bool, text: &str, descriptors: usize, test: impl FnOnce(Around) -> F,
+) {
+    run_within(None, paused, text, descriptors, test);
+}
+
+/// The same where the process may use so many bytes of memory.
+pub fn run_within<F: Future<Output = ()>>(
+    memory: Option<usize>, paused: bool, text: &str, descriptors: usize, test: impl FnOnce(Around) -> F,
 ) {
     let mut runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = runtime.enable_all().start_paused(paused).build().unwrap();
@@ -49,7 +56,10 @@
             ..Names::default()
         };
         let clock = Clock::start();
-        let state = State::new(clock.now(), site, decisions, 7, &Default::default(), descriptors);
+        let mut state = State::new(clock.now(), site, decisions, 7, &Default::default(), descriptors);
+        if let Some(memory) = memory {
+            state.limit_memory(memory);
+        }
         let at = discovery.local_addr().unwrap();
         let addresses = Addresses { discovery: at, peer_listen: None, peers: Vec::new(), peers_all: None };
         let (control, controls) = mpsc::channel(1);
