--- a/crates/mixer/src/protocol/discovery.rs
+++ b/crates/mixer/src/protocol/discovery.rs
@@ -25,7 +25,7 @@
 /// Entries of one list that can't be used and are logged one by one; the others are counted in one line.
 const MOST_LOGGED: usize = 16;
 
-/// The most bytes that one message of discovery may take where the process may hold `memory` bytes.
+/// The most bytes that one message of discovery may take where the process may use `memory` bytes.
 pub fn most_object(memory: usize) -> usize {
     (memory / MEMORY_SHARE).clamp(LEAST_BOUND, MOST_OBJECT)
 }
--- a/crates/mixer/src/routing/replicas.rs
+++ b/crates/mixer/src/routing/replicas.rs
@@ -48,7 +48,8 @@
     visited: u64,
 }
 
-/// What discovery announces counts as announced within this time, ns; what it says later is its last word.
+/// Within this time, ns, whatever discovery had to announce counts as announced; a list that it sends later is its
+/// present one.
 pub const LATE: Nanos = 6_000_000_000;
 
 /// Entries of one list that are logged for what is odd about them; the counters have all.
--- a/crates/mixer/src/routing/state/links.rs
+++ b/crates/mixer/src/routing/state/links.rs
@@ -114,7 +114,7 @@
         self.counters.reloads.taken += 1;
         let mut from = Some(self.replicas.index);
         if self.watching.moves() {
-            // What that one says of its own versions tells nothing of ours.
+            // Its versions are its own: they do not compare with that of the list in force.
             from = None;
             let settled = self.replicas.moved(now);
             self.alarms.retain(|(_, alarm)| !matches!(alarm, Alarm::Settled(_)));
--- a/crates/mixer/src/routing/state/mod.rs
+++ b/crates/mixer/src/routing/state/mod.rs
@@ -122,7 +122,7 @@
     End,
     /// Discovery has had its time to say what holds at the start.
     Unheard,
-    /// What another discovery says is its last word now.
+    /// What a discovery at a new address announces counts as its present list from now on.
     Settled(SocketAddr),
     /// A call that the socket had at this time and that may not begin any later.
     Stuck(LinkId, Nanos),
@@ -164,7 +164,7 @@
     /// Clients' connections are accepted.
     listening: bool,
     listed: bool,
-    /// The list held is that of an earlier life, and nothing is sent on it yet.
+    /// The list in force is the remembered one of an earlier process, and nothing is sent on it yet.
     unheard: bool,
     /// When discovery last showed a sign of life.
     heard: Nanos,
@@ -198,7 +198,7 @@
     }
 }
 
-/// How discovery tells of changes, as the settings state it.
+/// How discovery announces changes, as the settings state it.
 fn way(site: &Site, settings: &Settings) -> Way {
     if settings.list_on_request {
         let within = Duration::from_nanos(settings.list_within);
@@ -209,7 +209,7 @@
 }
 
 impl State {
-    /// Starts with the list as it was last held, which may be old, and as many descriptors as it may hold.
+    /// Starts with the list that was last in force, which may be old, and as many descriptors as may be open.
     pub fn new(
         now: Nanos, site: Site, settings: Settings, seed: u64, known: &Listing, descriptors: usize,
     ) -> State {
@@ -259,7 +259,7 @@
         self.watching.clone()
     }
 
-    /// The process may hold so many bytes; bounds the lists that are accepted.
+    /// Sets the bytes that the process may use, which bound the lists that are accepted.
     pub fn limit_memory(&mut self, memory: usize) {
         self.watching.limit_memory(memory);
     }
--- a/crates/mixer/src/routing/watching.rs
+++ b/crates/mixer/src/routing/watching.rs
@@ -1,11 +1,11 @@
 //! How fresh the list is kept: how long a watch may say nothing, and when the next is opened after one that ended.
-//! One rule for each way in which discovery tells of changes; the settings say which holds.
+//! One rule for each way in which discovery announces changes; the settings state which one applies.
 //!
 //! - Pushed: an agent on the mixer's own machine, free to ask, whose list is in force whether or not it is watched.
 //!   Any wait is time in which something in force is not known, so it is a small share of the drain grace, whatever
 //!   the size of the fleet and however often it has failed.
 //! - Asked: one service for all mixers, which serves calls one after another. The calls are spread and become fewer
-//!   as they fail (`Backoff`), within the time after which what it has counts as told and what the settings let a
+//!   as they fail (`Backoff`), within the time after which what it has counts as announced and what the settings let a
 //!   mixer go without asking.
 
 use super::backoff::Backoff;
@@ -15,9 +15,10 @@
 /// Which way holds, with the time that bounds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Way {
-    /// Nothing goes to a leaving replica later than `grace` after it was told.
+    /// Nothing goes to a leaving replica later than `grace` after it was announced as leaving.
     Pushed { grace: Duration },
-    /// After `within` without asking the list then in force counts as told; none where the settings do not say.
+    /// After `within` without a call the list that discovery has then counts as announced; none where the settings
+    /// do not state it.
     Asked { within: Option<Duration> },
 }
 
@@ -34,7 +35,7 @@
     pub retry_after: Option<Duration>,
 }
 
-/// What discovery has counts as told so long after it had it and could be reached, whichever calls failed meanwhile;
+/// What discovery has counts as announced so long after it had it and could be reached, whichever calls failed meanwhile;
 /// so does what a silent watch misses, from when it fell silent.
 pub const STALENESS_BOUND: Duration = Duration::from_secs(6);
 /// Of that, what is left for the try that succeeds: to connect, and to be answered.
@@ -70,7 +71,7 @@
         Watching { way, backoff: Backoff::new(seed, mixers, apart(way)), most_object: MOST_OBJECT }
     }
 
-    /// The process may hold so many bytes: a list takes its share of them at most.
+    /// Sets the bytes that the process may use: the text of a list takes its share of them at most.
     pub fn limit_memory(&mut self, memory: usize) {
         self.most_object = discovery::most_object(memory);
     }
@@ -97,14 +98,14 @@
         }
     }
 
-    /// For the first list after a start, before which nothing is sent: what discovery had long ago counts as told to a
-    /// new process as well. One that has left it unanswered for so long is silent or overbooked, and what was held
-    /// before is the best there is.
+    /// For the first list after a start, before which nothing is sent: what discovery had long ago counts as announced
+    /// to a new process as well. One that has left it unanswered for so long is silent or overbooked, and the
+    /// remembered list is the best there is.
     pub fn first_list(&self) -> Duration {
         FIRST_LIST.min(self.answer())
     }
 
-    /// Whether a new address means another list, with versions of its own: agents hold one each, a service one for
+    /// Whether a new address means another list, with versions of its own: agents have one each, a service one for
     /// all.
     pub fn moves(&self) -> bool {
         matches!(self.way, Way::Pushed { .. })
--- a/crates/mixer/tests/lists.rs
+++ b/crates/mixer/tests/lists.rs
@@ -7,7 +7,9 @@
 use bed::Bed;
 use bytes::BytesMut;
 use cottonhill_mixer::config::Config;
-use cottonhill_mixer::protocol::discovery::{self, Listing, Refused, Status, MOST_ENTRIES, MOST_OBJECT};
+use cottonhill_mixer::protocol::discovery::{
+    self, Listing, Objects, Refused, Status, MOST_ENTRIES, MOST_OBJECT,
+};
 use cottonhill_mixer::protocol::http::WatchCodec;
 use cottonhill_mixer::protocol::query::Reply;
 use cottonhill_mixer::routing::replicas::{Replicas, LATE};
@@ -59,6 +61,21 @@
     assert_eq!(replicas.known(), PLANNED);
 }
 
+#[test]
+fn a_large_object_is_kept_by_nothing_but_itself() {
+    let list = whole((0..1000).map(entry));
+    for after in ["", "\n", "\n{\"index\":44"] {
+        let mut objects = Objects::default();
+        objects.buffer().extend_from_slice((list.clone() + after).as_bytes());
+        let object = objects.whole().expect("a whole list");
+        assert_eq!(object.len(), list.len());
+        assert!(object.is_unique(), "its memory goes with it, {} bytes after it or not", after.len());
+        objects.buffer().extend_from_slice(b"}");
+        let next = objects.whole().expect("what follows is read on");
+        assert_eq!(next, after.trim().to_string() + "}");
+    }
+}
+
 #[test]
 fn the_bound_has_room_for_the_planned_list_indented_and_grown() {
     let list: Value = serde_json::from_str(&whole((0..1000).map(entry))).unwrap();
