Split the settlement's store into modules by job

store.rs held the schema, collection, settling, closing, corrections, the outbox and the check in 933 lines, with functions of over a hundred. The same SQL runs in the same order in the same transactions, and the public items keep their names.

--- /dev/null
+++ b/crates/ledger/src/store/corrections.rs
@@ -0,0 +1,71 @@
+//! Corrections that an operator enters, and the statements that they stand in.
+
+use super::outbox::put_document;
+use super::{CorrectionLine, Error, Result, Store};
+use crate::export::Document;
+use crate::period::{stamp, Period};
+use rusqlite::{params, Connection, OptionalExtension, Row};
+
+impl Store {
+    /// Enters a correction: into the statement of its period if that is still open, else as a document of its own.
+    ///
+    /// # Errors
+    /// [`Error::Asked`] if a correction of that id was entered before.
+    pub fn correct(
+        &mut self, correction: &CorrectionLine, period: Period, now: i64,
+    ) -> Result<Option<Document>> {
+        let transaction = self.begin()?;
+        let closed: Option<String> = transaction
+            .query_row("SELECT hash FROM statement WHERE period = ?", [period.start], |row| row.get(0))
+            .optional()?;
+        let CorrectionLine { id, tenant, amount, reason, author } = correction;
+        let added = transaction.execute(
+            "INSERT OR IGNORE INTO correction VALUES (?, ?, ?, ?, ?, ?, ?, NULL)",
+            params![id, now, tenant, period.start, amount, reason, author],
+        )?;
+        if added == 0 {
+            return Err(Error::Asked(format!("there is a correction {id} already")));
+        }
+        let document = closed.map(|hash| Document::of_correction(correction, period, &hash));
+        if let Some(document) = &document {
+            put_document(&transaction, document, now)?;
+        }
+        transaction.commit()?;
+        Ok(document)
+    }
+
+    /// All corrections: the period's name, and whether they stand in its statement.
+    pub fn corrections(&self) -> Result<Vec<(CorrectionLine, String, bool)>> {
+        let mut rows = self.db.prepare(
+            "SELECT id, tenant, amount, reason, author, period, statement IS NOT NULL FROM correction
+             ORDER BY made, id",
+        )?;
+        let rows = rows.query_map([], |row| Ok((correction(row)?, stamp(row.get(5)?), row.get(6)?)))?;
+        Ok(rows.collect::<rusqlite::Result<_>>()?)
+    }
+}
+
+fn correction(row: &Row) -> rusqlite::Result<CorrectionLine> {
+    Ok(CorrectionLine {
+        id: row.get(0)?,
+        tenant: row.get(1)?,
+        amount: row.get(2)?,
+        reason: row.get(3)?,
+        author: row.get(4)?,
+    })
+}
+
+/// Takes the corrections that wait for a period into its statement.
+pub(super) fn take_waiting(db: &Connection, period: Period) -> Result<Vec<CorrectionLine>> {
+    let mut rows = db.prepare(
+        "SELECT id, tenant, amount, reason, author FROM correction
+         WHERE statement IS NULL AND period = ? ORDER BY made, id",
+    )?;
+    let rows = rows.query_map([period.start], correction)?;
+    let corrections = rows.collect::<rusqlite::Result<_>>()?;
+    db.execute(
+        "UPDATE correction SET statement = ?1 WHERE statement IS NULL AND period = ?1",
+        [period.start],
+    )?;
+    Ok(corrections)
+}
