Declare the counts of a statement's line once

Their twelve names stood six times in rate.rs: in the struct, in NAMES, and twice each in the conversions. One macro now makes all of them from one list, with a doc comment for each; the store's sums take the number from there too.

--- a/crates/ledger/src/rate.rs
+++ b/crates/ledger/src/rate.rs
@@ -9,28 +9,64 @@
 use serde::{Deserialize, Serialize};
 use std::ops::{AddAssign, Sub};
 
-/// What a line counts. All of it adds up, so the difference of two counts is one, too.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Counts {
-    pub uses: i64,
-    pub whole: i64,
-    pub partial: i64,
+/// Declares [`Counts`] and its conversions, so that the fields and their order stand in one place.
+macro_rules! counts {
+    ($($(#[$doc:meta])* $field:ident,)*) => {
+        /// What a line counts. All of it adds up, so the difference of two counts is one, too.
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+        pub struct Counts {
+            $($(#[$doc])* pub $field: i64,)*
+        }
+
+        impl Counts {
+            /// The fields' names, in the order in which they are declared.
+            pub const NAMES: [&'static str; Counts::FIELDS] = [$(stringify!($field)),*];
+
+            /// How many fields there are.
+            pub const FIELDS: usize = [$(stringify!($field)),*].len();
+
+            /// The fields in the order of [`Counts::NAMES`].
+            pub fn values(&self) -> [i64; Counts::FIELDS] {
+                [$(self.$field),*]
+            }
+
+            /// Counts with these values, in the order of [`Counts::NAMES`].
+            pub fn from_values([$($field),*]: [i64; Counts::FIELDS]) -> Counts {
+                Counts { $($field),* }
+            }
+        }
+    };
+}
+
+counts! {
+    /// Uses, however they ended.
+    uses,
+    /// Uses answered whole.
+    whole,
+    /// Uses answered in part.
+    partial,
     /// Of the partial answers together, in millionths.
-    pub share: i64,
-    pub refused: i64,
-    pub failed: i64,
-    pub left: i64,
+    share,
+    /// Uses refused.
+    refused,
+    /// Uses that failed.
+    failed,
+    /// Uses whose client left before the answer.
+    left,
     /// Records, first tries and retries.
-    pub tries: i64,
-    pub parts: i64,
-    pub attempts: i64,
+    tries,
+    /// Parts of all tries.
+    parts,
+    /// Attempts at parts, of all tries.
+    attempts,
     /// Attempts to another zone.
-    pub crossed: i64,
+    crossed,
     /// Uses with a join that might have been another.
-    pub ambiguous: i64,
+    ambiguous,
 }
 
 impl Counts {
+    /// Adds one use with all its tries.
     pub fn add(&mut self, it: &Use) {
         self.uses += 1;
         match it.outcome {
@@ -57,62 +93,10 @@
         self.whole + self.partial
     }
 
+    /// Whether nothing is counted.
     pub fn is_zero(&self) -> bool {
         *self == Counts::default()
     }
-
-    /// In the order of [`Counts::NAMES`].
-    pub fn values(&self) -> [i64; 12] {
-        let Counts {
-            uses,
-            whole,
-            partial,
-            share,
-            refused,
-            failed,
-            left,
-            tries,
-            parts,
-            attempts,
-            crossed,
-            ambiguous,
-        } = *self;
-        [uses, whole, partial, share, refused, failed, left, tries, parts, attempts, crossed, ambiguous]
-    }
-
-    pub const NAMES: [&'static str; 12] = [
-        "uses",
-        "whole",
-        "partial",
-        "share",
-        "refused",
-        "failed",
-        "left",
-        "tries",
-        "parts",
-        "attempts",
-        "crossed",
-        "ambiguous",
-    ];
-
-    pub fn from_values(values: [i64; 12]) -> Counts {
-        let [uses, whole, partial, share, refused, failed, left, tries, parts, attempts, crossed, ambiguous] =
-            values;
-        Counts {
-            uses,
-            whole,
-            partial,
-            share,
-            refused,
-            failed,
-            left,
-            tries,
-            parts,
-            attempts,
-            crossed,
-            ambiguous,
-        }
-    }
 }
 
 impl AddAssign for Counts {
--- a/crates/ledger/src/store/settling.rs
+++ b/crates/ledger/src/store/settling.rs
@@ -51,7 +51,7 @@
     let (mut lines, mut amounts) = (Lines::new(), Amounts::new());
     while let Some(row) = rows.next()? {
         let key = (row.get(0)?, row.get(1)?);
-        let mut values = [0; 12];
+        let mut values = [0; Counts::FIELDS];
         for (i, value) in values.iter_mut().enumerate() {
             *value = row.get(i + 2)?;
         }
