--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -12,12 +12,11 @@
 
 pub use clock::Clock;
 pub use door::Door;
-pub use ledger::Recorder;
+pub use ledger::{Ledger, Recorder};
 
 use crate::protocol::query::{Names, Reply};
 use crate::routing::{ClientId, Effect, Input, LinkId, State, Watching};
 use futures_util::StreamExt;
-use ledger::Ledger;
 use pool::Pool;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
