Name replies that wait for usage records as such: a typed reply in place of a tuple

transport::Ledger held replies, not a ledger. It is PendingReplies now, with enqueue, next_deadline and pop_ready in place of hold, until and release; a reply goes as ClientReply with named fields, and Recorder::left_without is note_unrecorded. Behaviour and log texts are as they were.

--- a/crates/cottonhill/src/recorder.rs
+++ b/crates/cottonhill/src/recorder.rs
@@ -54,7 +54,7 @@
         self.0.stall_bound()
     }
 
-    fn left_without(&mut self) {
+    fn note_unrecorded(&mut self) {
         self.0.note_late();
     }
 
--- a/crates/mixer/src/transport/ledger.rs
+++ b/crates/mixer/src/transport/ledger.rs
@@ -1,4 +1,4 @@
-//! Replies that wait for their record of use: what a client is told is in the log first, unless the log stalls.
+//! Replies that wait for their usage records: a record is written before its reply leaves, unless the log stalls.
 
 use crate::protocol::query::Reply;
 use crate::routing::usage::{Mark, Usage};
@@ -7,50 +7,71 @@
 use tokio::sync::watch;
 use tokio::time::{Duration, Instant};
 
-/// Where records of use go. None of this may block: it is called between the sockets' turns.
+/// Where usage records go. No method may block: they are called on the mixer's one thread.
 pub trait Recorder {
     /// Hands a record on; false if there was no room and it is lost.
     fn record(&mut self, usage: Usage) -> bool;
+    /// Hands a mark on.
     fn mark(&mut self, mark: Mark);
-    /// The sequence up to which records are with the operating system.
+    /// The sequence number up to which records are with the operating system.
     fn written(&self) -> watch::Receiver<u64>;
-    /// How long a reply waits for its record at the most.
+    /// The longest time that a reply waits for its record.
     fn stall(&self) -> Duration;
-    /// A reply has left before its record was written.
-    fn left_without(&mut self);
+    /// Counts a reply that left before its record was written.
+    fn note_unrecorded(&mut self);
     /// Writes what is still waiting, for a bounded time.
     fn close(&mut self);
 }
 
-struct Held {
+/// A reply on its way to a client's connection.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClientReply {
+    /// The client whose connection it leaves on.
+    pub client: ClientId,
+    /// What the client is answered.
+    pub reply: Reply,
+    /// Whether the connection ends with it.
+    pub close: bool,
+}
+
+/// A reply whose record has been handed on and is not known to be written.
+struct PendingReply {
     sequence: u64,
-    until: Instant,
-    reply: (ClientId, Reply, bool),
+    /// When it leaves without its record.
+    deadline: Instant,
+    reply: ClientReply,
 }
 
 /// The recorder and the replies that wait for it, in the order of their records.
-pub struct Ledger {
+pub struct PendingReplies {
     recorder: Box<dyn Recorder>,
     written: watch::Receiver<u64>,
     stall: Duration,
-    held: VecDeque<Held>,
+    queue: VecDeque<PendingReply>,
     /// The record whose reply comes next.
-    next: Option<u64>,
+    last_record: Option<u64>,
     /// How far the log was when a reply last left without its record: until it moves, none waits.
-    stalled: Option<u64>,
+    stalled_at: Option<u64>,
 }
 
-impl Ledger {
-    /// A queue without replies, in front of this recorder.
-    pub fn new(recorder: Box<dyn Recorder>) -> Ledger {
+impl PendingReplies {
+    /// An empty queue in front of this recorder.
+    pub fn new(recorder: Box<dyn Recorder>) -> PendingReplies {
         let (written, stall) = (recorder.written(), recorder.stall());
-        Ledger { recorder, written, stall, held: VecDeque::new(), next: None, stalled: None }
+        PendingReplies {
+            recorder,
+            written,
+            stall,
+            queue: VecDeque::new(),
+            last_record: None,
+            stalled_at: None,
+        }
     }
 
-    /// Hands the record of a query on; its reply is the next one.
+    /// Hands the record of a query on; the next reply is that query's.
     pub fn record(&mut self, usage: Usage) {
         let sequence = usage.sequence;
-        self.next = self.recorder.record(usage).then_some(sequence);
+        self.last_record = self.recorder.record(usage).then_some(sequence);
     }
 
     /// Hands a mark on.
@@ -58,63 +79,63 @@
         self.recorder.mark(mark);
     }
 
-    /// Holds a reply until its record is written; gives it back if there is nothing to wait for.
-    pub fn hold(&mut self, client: ClientId, reply: Reply, close: bool) -> Option<(ClientId, Reply, bool)> {
-        let reply = (client, reply, close);
+    /// Queues a reply until its record is written; returns it if there is nothing to wait for.
+    pub fn enqueue(&mut self, reply: ClientReply) -> Option<ClientReply> {
         let written = *self.written.borrow();
-        match self.next.take() {
-            Some(sequence) if written < sequence && self.stalled == Some(written) => {
-                self.recorder.left_without();
+        match self.last_record.take() {
+            Some(sequence) if written < sequence && self.stalled_at == Some(written) => {
+                self.recorder.note_unrecorded();
                 Some(reply)
             }
             Some(sequence) if written < sequence => {
-                self.held.push_back(Held { sequence, until: Instant::now() + self.stall, reply });
+                let deadline = Instant::now() + self.stall;
+                self.queue.push_back(PendingReply { sequence, deadline, reply });
                 None
             }
             _ => Some(reply),
         }
     }
 
-    /// A connection is to close: with its reply, if that is still held.
+    /// Has a client's connection end with its reply, if that is still queued.
     pub fn close_client(&mut self, client: ClientId) {
-        for held in self.held.iter_mut().filter(|held| held.reply.0 == client) {
-            held.reply.2 = true;
+        for pending in self.queue.iter_mut().filter(|pending| pending.reply.client == client) {
+            pending.reply.close = true;
         }
     }
 
-    /// When the first reply held has waited for long enough.
-    pub fn until(&self) -> Option<Instant> {
-        self.held.front().map(|held| held.until)
+    /// When the first queued reply leaves even without its record.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        self.queue.front().map(|pending| pending.deadline)
     }
 
-    /// Returns once records were written that replies wait for; never while none is held.
+    /// Returns once records were written that replies wait for; never while none is queued.
     pub async fn progress(&mut self) {
-        if self.held.is_empty() {
+        if self.queue.is_empty() {
             return std::future::pending().await;
         }
         if self.written.changed().await.is_err() {
             // The writer is gone: there is nothing to wait for.
-            self.held.iter_mut().for_each(|held| held.until = Instant::now());
+            self.queue.iter_mut().for_each(|pending| pending.deadline = Instant::now());
         }
     }
 
-    /// The next reply that may go.
-    pub fn release(&mut self) -> Option<(ClientId, Reply, bool)> {
-        let front = self.held.front()?;
-        let written = *self.written.borrow() >= front.sequence;
-        if !written && Instant::now() < front.until {
+    /// The next reply that may leave: its record is written, or its deadline has passed.
+    pub fn pop_ready(&mut self) -> Option<ClientReply> {
+        let first = self.queue.front()?;
+        let recorded = *self.written.borrow() >= first.sequence;
+        if !recorded && Instant::now() < first.deadline {
             return None;
         }
-        if !written {
-            self.stalled = Some(*self.written.borrow());
-            self.recorder.left_without();
+        if !recorded {
+            self.stalled_at = Some(*self.written.borrow());
+            self.recorder.note_unrecorded();
         }
-        self.held.pop_front().map(|held| held.reply)
+        self.queue.pop_front().map(|pending| pending.reply)
     }
 
-    /// Writes what waits, then gives back every reply.
-    pub fn close(&mut self) -> Vec<(ClientId, Reply, bool)> {
+    /// Writes what waits, then returns every queued reply.
+    pub fn close(&mut self) -> Vec<ClientReply> {
         self.recorder.close();
-        self.held.drain(..).map(|held| held.reply).collect()
+        self.queue.drain(..).map(|pending| pending.reply).collect()
     }
 }
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -12,9 +12,9 @@
 
 pub use clock::Clock;
 pub use door::Door;
-pub use ledger::{Ledger, Recorder};
+pub use ledger::{ClientReply, PendingReplies, Recorder};
 
-use crate::protocol::query::{Names, Reply};
+use crate::protocol::query::Names;
 use crate::routing::{ClientId, Effect, Input, LinkId, State, Watching};
 use futures_util::StreamExt;
 use pool::Pool;
@@ -99,7 +99,8 @@
     links: HashMap<LinkId, leaf::Handle>,
     udp: Option<Udp>,
     watch: AbortHandle,
-    ledger: Option<Ledger>,
+    /// Replies that wait for their usage records, where a usage log is kept.
+    pending_replies: Option<PendingReplies>,
     exited: bool,
 }
 
@@ -169,12 +170,12 @@
     tokio::task::spawn_local(clients::listen(shared.clone(), listener, state.most_clients()));
     let watch = watch(&shared, addresses.discovery, Some(state.list_index()));
     beside.fronts.into_iter().for_each(|start| start(Door::new(shared.clone())));
-    let ledger = beside.recorder.map(Ledger::new);
-    let mut driver = Driver { shared, links: HashMap::new(), udp, watch, ledger, exited: false };
+    let pending_replies = beside.recorder.map(PendingReplies::new);
+    let mut driver = Driver { shared, links: HashMap::new(), udp, watch, pending_replies, exited: false };
     while !driver.exited {
         // One timer for both: to arm another for each turn costs more than what it is for.
-        let held = driver.ledger.as_ref().and_then(Ledger::until);
-        let due = state.next_due().map(|at| clock.instant(at)).into_iter().chain(held).min();
+        let reply_due = driver.pending_replies.as_ref().and_then(PendingReplies::next_deadline);
+        let due = state.next_due().map(|at| clock.instant(at)).into_iter().chain(reply_due).min();
         tokio::select! {
             biased;
             Some(told) = told.recv() => {
@@ -185,8 +186,8 @@
                 driver.put(&mut state, clock.now(), input);
             }
             Some(input) = listed.recv() => driver.put(&mut state, clock.now(), input),
-            () = progress(&mut driver.ledger) => {
-                driver.release();
+            () = progress(&mut driver.pending_replies) => {
+                driver.send_ready_replies();
                 continue;
             }
             Some(input) = arrived.recv() => {
@@ -204,17 +205,17 @@
             () = sleep_until(due.unwrap_or_else(|| clock.instant(0))), if due.is_some() => {}
         }
         driver.put(&mut state, clock.now(), Input::Turn);
-        driver.release();
+        driver.send_ready_replies();
     }
-    driver.close_ledger();
+    driver.close_recorder();
     sleep(LAST_FLUSH).await;
     Ok(())
 }
 
-/// Returns once a reply that waits for its record may go.
-async fn progress(ledger: &mut Option<Ledger>) {
-    match ledger {
-        Some(ledger) => ledger.progress().await,
+/// Returns once a reply that waits for its record may leave.
+async fn progress(pending_replies: &mut Option<PendingReplies>) {
+    match pending_replies {
+        Some(pending_replies) => pending_replies.progress().await,
         None => std::future::pending().await,
     }
 }
@@ -238,26 +239,29 @@
     fn perform(&mut self, effect: Effect) {
         match effect {
             Effect::Reply { client, reply, close } => {
-                let ready = match &mut self.ledger {
-                    Some(ledger) => ledger.hold(client, reply, close),
-                    None => Some((client, reply, close)),
+                let reply = ClientReply { client, reply, close };
+                let ready = match &mut self.pending_replies {
+                    Some(pending_replies) => pending_replies.enqueue(reply),
+                    None => Some(reply),
                 };
-                self.reply(ready);
+                if let Some(reply) = ready {
+                    self.reply(reply);
+                }
             }
             Effect::CloseClient { client, room } => {
-                if let Some(ledger) = &mut self.ledger {
-                    ledger.close_client(client);
+                if let Some(pending_replies) = &mut self.pending_replies {
+                    pending_replies.close_client(client);
                 }
-                self.tell_client(client, clients::Command::Close { room });
+                self.command_client(client, clients::Command::Close { room });
             }
             Effect::Record(usage) => {
-                if let Some(ledger) = &mut self.ledger {
-                    ledger.record(usage);
+                if let Some(pending_replies) = &mut self.pending_replies {
+                    pending_replies.record(usage);
                 }
             }
             Effect::Mark(mark) => {
-                if let Some(ledger) = &mut self.ledger {
-                    ledger.mark(mark);
+                if let Some(pending_replies) = &mut self.pending_replies {
+                    pending_replies.mark(mark);
                 }
             }
             Effect::Connect { link, address } => {
@@ -288,25 +292,25 @@
         }
     }
 
-    fn reply(&self, ready: Option<(ClientId, Reply, bool)>) {
-        if let Some((client, reply, close)) = ready {
-            self.tell_client(client, clients::Command::Reply(Box::new(reply), close));
-        }
+    fn reply(&self, ClientReply { client, reply, close }: ClientReply) {
+        self.command_client(client, clients::Command::Reply(Box::new(reply), close));
     }
 
     /// Sends the replies whose records are written, or that have waited for long enough.
-    fn release(&mut self) {
-        while let Some(ready) = self.ledger.as_mut().and_then(Ledger::release) {
-            self.reply(Some(ready));
+    fn send_ready_replies(&mut self) {
+        while let Some(reply) = self.pending_replies.as_mut().and_then(PendingReplies::pop_ready) {
+            self.reply(reply);
         }
     }
 
-    fn close_ledger(&mut self) {
-        let held = self.ledger.as_mut().map(Ledger::close).unwrap_or_default();
-        held.into_iter().for_each(|ready| self.reply(Some(ready)));
+    /// Writes the records that wait, and sends every reply that is still queued.
+    fn close_recorder(&mut self) {
+        let queued = self.pending_replies.as_mut().map(PendingReplies::close).unwrap_or_default();
+        queued.into_iter().for_each(|reply| self.reply(reply));
     }
 
-    fn tell_client(&self, client: ClientId, command: clients::Command) {
+    /// Hands a command to the task of a client's connection.
+    fn command_client(&self, client: ClientId, command: clients::Command) {
         if let Some(commands) = self.shared.clients.borrow().get(&client) {
             // Full only if a task is stuck on a client that reads nothing; that client loses its answer.
             if commands.try_send(command).is_err() {
--- a/crates/mixer/tests/recording.rs
+++ b/crates/mixer/tests/recording.rs
@@ -2,7 +2,7 @@
 
 use cottonhill_mixer::protocol::query::Reply;
 use cottonhill_mixer::routing::usage::{Mark, Outcome, Usage};
-use cottonhill_mixer::transport::{Ledger, Recorder};
+use cottonhill_mixer::transport::{ClientReply, PendingReplies, Recorder};
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -26,7 +26,7 @@
     fn stall(&self) -> Duration {
         Duration::from_millis(5)
     }
-    fn left_without(&mut self) {
+    fn note_unrecorded(&mut self) {
         self.without.set(self.without.get() + 1);
     }
     fn close(&mut self) {}
@@ -50,42 +50,47 @@
     }
 }
 
+fn reply(client: u64, reply: Reply) -> ClientReply {
+    ClientReply { client, reply, close: false }
+}
+
 #[tokio::test(start_paused = true)]
 async fn replies_wait_for_their_records_in_order_but_no_longer_than_a_stall() {
     let without = Rc::<Cell<u32>>::default();
     let (written, _keep) = watch::channel(0);
     let slow = Slow { room: true, written: written.clone(), without: without.clone() };
-    let mut ledger = Ledger::new(Box::new(slow));
+    let mut pending = PendingReplies::new(Box::new(slow));
     for sequence in 1..=3 {
-        ledger.record(usage(sequence));
-        assert!(ledger.hold(sequence, Reply::Failed, false).is_none());
+        pending.record(usage(sequence));
+        assert!(pending.enqueue(reply(sequence, Reply::Failed)).is_none());
     }
     // What is no query's answer has nothing to wait for.
-    assert!(ledger.hold(9, Reply::Ready(true), false).is_some());
-    assert!(ledger.release().is_none());
-    ledger.close_client(2);
+    assert!(pending.enqueue(reply(9, Reply::Ready(true))).is_some());
+    assert!(pending.pop_ready().is_none());
+    pending.close_client(2);
     written.send_replace(2);
-    ledger.progress().await;
-    assert_eq!(ledger.release().map(|r| (r.0, r.2)), Some((1, false)));
-    assert_eq!(ledger.release().map(|r| (r.0, r.2)), Some((2, true)));
-    assert!(ledger.release().is_none());
+    pending.progress().await;
+    assert_eq!(pending.pop_ready().map(|r| (r.client, r.close)), Some((1, false)));
+    assert_eq!(pending.pop_ready().map(|r| (r.client, r.close)), Some((2, true)));
+    assert!(pending.pop_ready().is_none());
     let began = Instant::now();
-    tokio::time::sleep_until(ledger.until().unwrap()).await;
-    assert_eq!(ledger.release().map(|r| r.0), Some(3));
+    tokio::time::sleep_until(pending.next_deadline().unwrap()).await;
+    assert_eq!(pending.pop_ready().map(|r| r.client), Some(3));
     assert_eq!((began.elapsed(), without.get()), (Duration::from_millis(5), 1));
     // It has stalled: nothing waits until it moves.
-    ledger.record(usage(4));
-    assert!(ledger.hold(4, Reply::Failed, false).is_some());
+    pending.record(usage(4));
+    assert!(pending.enqueue(reply(4, Reply::Failed)).is_some());
     assert_eq!(without.get(), 2);
     written.send_replace(4);
-    ledger.record(usage(5));
-    assert!(ledger.hold(5, Reply::Failed, false).is_none());
+    pending.record(usage(5));
+    assert!(pending.enqueue(reply(5, Reply::Failed)).is_none());
 }
 
 #[tokio::test]
 async fn a_reply_whose_record_is_lost_goes_at_once() {
     let (written, _keep) = watch::channel(0);
-    let mut ledger = Ledger::new(Box::new(Slow { room: false, written, without: Default::default() }));
-    ledger.record(usage(1));
-    assert!(ledger.hold(1, Reply::Failed, false).is_some());
+    let mut pending =
+        PendingReplies::new(Box::new(Slow { room: false, written, without: Default::default() }));
+    pending.record(usage(1));
+    assert!(pending.enqueue(reply(1, Reply::Failed)).is_some());
 }
