Call the in-process way to the reducer a query client

transport::Door, from the withdrawn house style, is transport::QueryClient in query_client.rs; the registration that a dropped query takes back is named so too, and the docs say what ask returns and when. Its uses in the search front and the program follow.

--- a/crates/cottonhill/src/fronts.rs
+++ b/crates/cottonhill/src/fronts.rs
@@ -31,5 +31,8 @@
     let listener = listener.map_err(|e| Failure::running(format!("cannot listen on {at}: {e}")))?;
     tracing::info!(address = %at, indices = opensearch.indices.len(), tls = tls.is_some(), "OpenSearch-style front");
     let with = tls.clone();
-    Ok(Fronts { start: vec![Box::new(move |door| front::start(opensearch, with, listener, door))], tls })
+    Ok(Fronts {
+        start: vec![Box::new(move |queries| front::start(opensearch, with, listener, queries))],
+        tls,
+    })
 }
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -3,16 +3,16 @@
 
 mod clients;
 mod clock;
-mod door;
 mod leaf;
 mod ledger;
 mod peers;
 mod pool;
+mod query_client;
 mod watch;
 
 pub use clock::Clock;
-pub use door::Door;
 pub use ledger::{ClientReply, PendingReplies, Recorder};
+pub use query_client::QueryClient;
 
 use crate::protocol::query::Names;
 use crate::routing::{ClientId, Effect, Input, LinkId, State, Watching};
@@ -85,7 +85,7 @@
 }
 
 /// Starts a front of another protocol; called once the reducer can be asked.
-pub type StartFront = Box<dyn FnOnce(Door)>;
+pub type StartFront = Box<dyn FnOnce(QueryClient)>;
 
 /// What runs beside the native front, where it is on.
 #[derive(Default)]
@@ -169,7 +169,7 @@
     };
     tokio::task::spawn_local(clients::listen(shared.clone(), listener, state.most_clients()));
     let watch = watch(&shared, addresses.discovery, Some(state.list_index()));
-    beside.fronts.into_iter().for_each(|start| start(Door::new(shared.clone())));
+    beside.fronts.into_iter().for_each(|start| start(QueryClient::new(shared.clone())));
     let pending_replies = beside.recorder.map(PendingReplies::new);
     let mut driver = Driver { shared, links: HashMap::new(), udp, watch, pending_replies, exited: false };
     while !driver.exited {
--- a/crates/mixer/src/transport/door.rs
+++ b/crates/mixer/src/transport/query_client.rs
@@ -1,4 +1,4 @@
-//! A way in for fronts of other protocols: what they ask goes through the same reducer as what native clients do.
+//! Queries from inside the process: fronts of other protocols ask the same reducer as native clients do.
 
 use super::clients::Command;
 use super::{Shared, MOST_COMMANDS};
@@ -10,17 +10,17 @@
 
 /// Asks queries of the reducer, each as a client of its own. Only for tasks of the mixer's own `LocalSet`.
 #[derive(Clone)]
-pub struct Door {
+pub struct QueryClient {
     shared: Shared,
 }
 
-/// A client for as long as its one query is open; dropped before the reply, it has left.
-struct Visit {
+/// The registration of a client whose one query is open. Dropped before the reply, it reports that the client left.
+struct Registration {
     shared: Shared,
     client: ClientId,
 }
 
-impl Drop for Visit {
+impl Drop for Registration {
     fn drop(&mut self) {
         self.shared.clients.borrow_mut().remove(&self.client);
         self.shared.client_ended.notify_one();
@@ -33,30 +33,31 @@
     }
 }
 
-impl Door {
-    pub(super) fn new(shared: Shared) -> Door {
-        Door { shared }
+impl QueryClient {
+    pub(super) fn new(shared: Shared) -> QueryClient {
+        QueryClient { shared }
     }
 
-    /// What classes and tenants are called, and the bounds of a query.
+    /// The names of classes and tenants, and the bounds of a query.
     pub fn names(&self) -> &Rc<Names> {
         &self.shared.names
     }
 
-    /// Unix nanoseconds, by the mixer's one clock.
+    /// The time in Unix nanoseconds, by the mixer's one clock.
     pub fn now(&self) -> Nanos {
         self.shared.clock.now()
     }
 
-    /// Asks a query that `arrived` then and waits for its one reply. Whoever drops this has left.
+    /// Asks a query that arrived at `arrived` (Unix nanoseconds) and waits for its one reply; [`Reply::Failed`] if the
+    /// mixer ends before. Dropping the future withdraws the query, as a client that closes its connection does.
     pub async fn ask(&self, arrived: Nanos, query: Query) -> Reply {
         let client = self.shared.client();
         let (commands, mut replies) = mpsc::channel(MOST_COMMANDS);
         self.shared.clients.borrow_mut().insert(client, commands);
-        let visit = Visit { shared: self.shared.clone(), client };
-        let _ = visit.shared.inputs.send(Input::ClientOpened { client }).await;
+        let registration = Registration { shared: self.shared.clone(), client };
+        let _ = registration.shared.inputs.send(Input::ClientOpened { client }).await;
         let asked = Ok(Asked::Query(query));
-        let _ = visit.shared.inputs.send(Input::Asked { client, arrived, asked }).await;
+        let _ = registration.shared.inputs.send(Input::Asked { client, arrived, asked }).await;
         loop {
             match replies.recv().await {
                 Some(Command::Reply(reply, _)) => return *reply,
--- a/crates/opensearch/src/front.rs
+++ b/crates/opensearch/src/front.rs
@@ -9,7 +9,7 @@
 use crate::tls::{self, Tls};
 use bytes::Bytes;
 use cottonhill_mixer::protocol::query::{AskedPart, Query, Reply};
-use cottonhill_mixer::transport::Door;
+use cottonhill_mixer::transport::QueryClient;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, ACCEPT_ENCODING, CONTENT_ENCODING, CONTENT_TYPE, RETRY_AFTER};
@@ -44,17 +44,17 @@
 
 struct Context {
     front: Front,
-    door: Door,
+    queries: QueryClient,
     /// Begins the names of this run's queries: leaf servers must never see one of another mixer or run again.
     run: String,
     last: Cell<u64>,
 }
 
 /// Serves on `listener` until the mixer stops; in the mixer's own `LocalSet`.
-pub fn start(front: Front, tls: Option<Rc<Tls>>, listener: TcpListener, door: Door) {
+pub fn start(front: Front, tls: Option<Rc<Tls>>, listener: TcpListener, queries: QueryClient) {
     let run = format!("os{:016x}", rand::random::<u64>());
     let room = Arc::new(Semaphore::new(front.connections));
-    let context = Rc::new(Context { front, door, run, last: Cell::new(0) });
+    let context = Rc::new(Context { front, queries, run, last: Cell::new(0) });
     tokio::task::spawn_local(async move {
         loop {
             let Ok(place) = room.clone().acquire_owned().await else { return };
@@ -67,7 +67,7 @@
                         continue;
                     }
                 },
-                () = context.door.stopped() => return,
+                () = context.queries.stopped() => return,
             };
             let (context, tls) = (context.clone(), tls.clone());
             tokio::task::spawn_local(async move {
@@ -113,7 +113,7 @@
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), answer));
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = context.door.stopped() => {
+        () = context.queries.stopped() => {
             // What is open is answered; then the connection ends.
             connection.as_mut().graceful_shutdown();
             connection.await
@@ -203,7 +203,7 @@
 }
 
 async fn handle(context: &Rc<Context>, peer: Peer, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let arrived = context.door.now();
+    let arrived = context.queries.now();
     let head = request.method() == Method::HEAD;
     let (parts, body) = request.into_parts();
     let accepts = text_of(&parts.headers, ACCEPT_ENCODING.as_str()).is_some_and(|all| all.contains("gzip"));
@@ -340,7 +340,7 @@
     context: &'a Context, arrived: u64, name: &str, caller: &Caller, told: &Parameters, search: &Search,
 ) -> Result<Gathered<'a>, Answer> {
     let began = Instant::now();
-    let (front, names) = (&context.front, context.door.names().clone());
+    let (front, names) = (&context.front, context.queries.names().clone());
     let (index, settings) = find(front, name)?;
     let Some(class) = names.classes.iter().position(|class| *class == settings.class) else {
         let reason =
@@ -394,7 +394,7 @@
             .collect(),
         text: Bytes::from(text),
     };
-    let hits = match context.door.ask(arrived, query).await {
+    let hits = match context.queries.ask(arrived, query).await {
         Reply::Answer { hits, .. } => hits,
         Reply::Refused { come_back } => return Err(shape::refused(come_back.map(Duration::from_nanos))),
         Reply::Rejected(rejection) => {
