Name what ends or reloads a settlement and a mixer as control commands

settlement::Told is Control, with Reload and Terminate, as the mixer's own; the channels that carry them are named for that in place of told and tell. Log texts and help stay.

--- a/crates/cottonhill/src/commands.rs
+++ b/crates/cottonhill/src/commands.rs
@@ -12,7 +12,7 @@
 use cottonhill_ledger::reconcile::{self, ClientUse};
 use cottonhill_ledger::settings::Ledger as Settings;
 use cottonhill_ledger::settle::Bounds;
-use cottonhill_ledger::settlement::{self, Told};
+use cottonhill_ledger::settlement::{self, Control};
 use cottonhill_ledger::store::{digest, CorrectionLine, Store};
 use cottonhill_ledger::{export, wire};
 use cottonhill_mixer::routing::usage;
@@ -276,13 +276,13 @@
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     let runtime = runtime.map_err(Failure::running)?;
     runtime.block_on(async move {
-        let (tell, told) = mpsc::channel(1);
+        let (sender, controls) = mpsc::channel(1);
         for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
             let mut signals = signal(kind).map_err(Failure::running)?;
-            let tell = tell.clone();
+            let sender = sender.clone();
             tokio::spawn(async move {
                 if signals.recv().await.is_some() {
-                    let _ = tell.send(Told::End).await;
+                    let _ = sender.send(Control::Terminate).await;
                 }
             });
         }
@@ -299,14 +299,14 @@
                     Ok((next, ledger)) => {
                         let restart = own.needs_restart(&next, &settings::SCHEMA).join(", ");
                         tracing::info!(restart, "settings read again");
-                        let _ = tell.send(Told::Settings(Box::new(ledger))).await;
+                        let _ = sender.send(Control::Reload(Box::new(ledger))).await;
                     }
                     Err(Failure { message, .. }) => tracing::error!("the settings stay as they were: {message}"),
                 }
             }
         });
         tracing::info!(store = %opened.path.display(), members = opened.settings.members.len(), "settlement starts");
-        settlement::serve(opened.path, opened.settings, told).await.map_err(Failure::running)
+        settlement::serve(opened.path, opened.settings, controls).await.map_err(Failure::running)
     })
 }
 
--- a/crates/cottonhill/src/program.rs
+++ b/crates/cottonhill/src/program.rs
@@ -17,7 +17,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
 
-/// Runs the mixer until it is told to end.
+/// Runs the mixer until a signal ends it.
 pub fn run(files: &Files) -> Done {
     let path = files.config.as_ref();
     let path = path.ok_or_else(|| {
@@ -87,7 +87,7 @@
 }
 
 async fn serve(mut running: Running, usage: Option<UsageLog>) -> Done {
-    let (tell, told) = mpsc::channel(1);
+    let (sender, controls) = mpsc::channel(1);
     let Config { name, listen, site, settings, seed, descriptors, known, addresses, names } =
         running.config.clone();
     let fronts = fronts::open(&running.own).await?;
@@ -96,16 +96,16 @@
     // A planned end, by the platform or by whoever has it in a terminal; and a new configuration.
     for kind in [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()] {
         let mut signals = signal(kind).map_err(|e| Failure::running(format!("no signals: {e}")))?;
-        let (tell, running) = (tell.clone(), running.clone());
+        let (sender, running) = (sender.clone(), running.clone());
         tokio::task::spawn_local(async move {
             while signals.recv().await.is_some() {
-                let what = if kind == SignalKind::hangup() {
+                let control = if kind == SignalKind::hangup() {
                     Control::Reload(running.reload())
                 } else {
                     tracing::info!("told to end");
                     Control::Terminate
                 };
-                let _ = tell.send(what).await;
+                let _ = sender.send(control).await;
             }
         });
     }
@@ -136,7 +136,7 @@
         names,
         listener,
         addresses,
-        told,
+        controls,
         transport::Beside { recorder, fronts: fronts.start },
     )
     .await;
--- a/crates/ledger/src/join.rs
+++ b/crates/ledger/src/join.rs
@@ -33,7 +33,7 @@
             (Outcome::Whole, _) | (_, Outcome::Whole) => Outcome::Whole,
             (Outcome::Partial(a), Outcome::Partial(b)) => Outcome::Partial(a.max(b)),
             (Outcome::Partial(_), _) => self,
-            // None was answered: what the client was told last.
+            // Neither was answered: that of the later try.
             (_, later) => later,
         }
     }
--- a/crates/ledger/src/settings.rs
+++ b/crates/ledger/src/settings.rs
@@ -207,7 +207,7 @@
     pub again: Duration,
 }
 
-/// All that the settlement is told.
+/// The settings of the settlement.
 #[derive(Clone, Debug)]
 pub struct Ledger {
     pub store: Option<PathBuf>,
--- a/crates/ledger/src/settlement.rs
+++ b/crates/ledger/src/settlement.rs
@@ -29,10 +29,12 @@
 /// How often a wait is doubled at the most.
 const MOST_DOUBLED: u32 = 5;
 
-/// What the settlement is told while it runs.
-pub enum Told {
-    Settings(Box<Ledger>),
-    End,
+/// A command to a running settlement.
+pub enum Control {
+    /// Put these settings in force, but for the calendar and the store, which stay as they were at the start.
+    Reload(Box<Ledger>),
+    /// End once what is under way is done.
+    Terminate,
 }
 
 /// A batch from a member, and where to say up to what it is in the store.
@@ -230,11 +232,13 @@
     Ok(())
 }
 
-/// Runs the settlement until it is told to end.
+/// Runs the settlement until [`Control::Terminate`], or until nobody can send a command any more.
 ///
 /// # Errors
 /// The store can't be used.
-pub async fn serve(path: PathBuf, settings: Ledger, mut told: mpsc::Receiver<Told>) -> Result<(), Error> {
+pub async fn serve(
+    path: PathBuf, settings: Ledger, mut controls: mpsc::Receiver<Control>,
+) -> Result<(), Error> {
     let mut settlement = Settlement::new(Store::open(&path)?, settings.clone());
     let shared = Arc::new(Mutex::new(settings));
     let over = Arc::new(std::sync::atomic::AtomicBool::new(false));
@@ -267,8 +271,8 @@
         }
         tokio::select! {
             biased;
-            told = told.recv() => match told {
-                Some(Told::Settings(next)) => {
+            control = controls.recv() => match control {
+                Some(Control::Reload(next)) => {
                     *shared.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = (*next).clone();
                     *waits.lock().unwrap_or_else(std::sync::PoisonError::into_inner) =
                         Waits { again: next.again, silent: next.silent };
@@ -276,7 +280,7 @@
                     let calendar = settlement.settings.calendar.clone();
                     settlement.settings = Ledger { calendar, ..*next };
                 }
-                Some(Told::End) | None => break,
+                Some(Control::Terminate) | None => break,
             },
             Some(Arrived { member, batch, stored }) = arrived.recv() => {
                 let position = tokio::task::block_in_place(|| settlement.take(&member, &batch))?;
