Name the search front's URL parameters, path segments and sizes as such

What a search was told is its parameters, words of a path are segments, bytes held are the answer's. Private names and comments only; what clients read is as it was.

--- a/crates/opensearch/src/front.rs
+++ b/crates/opensearch/src/front.rs
@@ -87,7 +87,7 @@
 #[derive(Clone)]
 struct Peer {
     address: IpAddr,
-    /// What its certificate calls it.
+    /// The common name in its certificate.
     name: Option<String>,
 }
 
@@ -114,7 +114,7 @@
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         () = context.queries.stopped() => {
-            // What is open is answered; then the connection ends.
+            // Open requests are answered; then the connection ends.
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -143,7 +143,7 @@
     response
 }
 
-/// Who asks: the request's headers, and the client's own address.
+/// The client that asks: the request's headers, and the client's own address.
 #[derive(Clone)]
 struct Caller {
     headers: HeaderMap,
@@ -151,18 +151,22 @@
     name: Option<String>,
 }
 
-/// What a search is told beside its body.
+/// The parameters of a search that stand in its URL, not in its body.
 #[derive(Clone, Debug, Default)]
 struct Parameters {
     from: Option<u64>,
     size: Option<u64>,
+    /// Milliseconds.
     timeout: Option<u64>,
     track: Option<Track>,
+    /// The shards to ask, where `preference` names them.
     only: Option<Vec<u32>>,
+    /// Whether an answer from a part of the shards will do.
     partial: Option<bool>,
 }
 
-fn parameters(path: &str, query: Option<&str>) -> Result<Parameters, Answer> {
+/// Reads the parameters of a query string; the answer to the client if one is unknown or can't be used.
+fn read_parameters(path: &str, query: Option<&str>) -> Result<Parameters, Answer> {
     let mut all = Parameters::default();
     for pair in query.unwrap_or_default().split('&').filter(|pair| !pair.is_empty()) {
         let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
@@ -268,13 +272,13 @@
     context: &Rc<Context>, arrived: u64, parts: &Parts, caller: &Caller, body: &Bytes,
 ) -> Result<Vec<u8>, Answer> {
     let path = parts.uri.path();
-    let told = parameters(path, parts.uri.query())?;
-    let words: Vec<&str> = path.split('/').filter(|word| !word.is_empty()).collect();
+    let parameters = read_parameters(path, parts.uri.query())?;
+    let segments: Vec<&str> = path.split('/').filter(|segment| !segment.is_empty()).collect();
     let get = matches!(parts.method, Method::GET | Method::HEAD);
     let read = get || parts.method == Method::POST;
     let plain = |value: Value| Ok(serde_json::to_vec(&value).unwrap_or_default());
     let front = &context.front;
-    match words[..] {
+    match segments[..] {
         [] if get => {
             plain(json!({"name": "mixer", "cluster_name": front.cluster, "cluster_uuid": context.run,
             "version": {"distribution": "opensearch", "number": "2.11.0", "build_type": "cottonhill",
@@ -295,12 +299,14 @@
             };
             plain(front.indices.iter().map(line).collect())
         }
-        ["_msearch"] if read => msearch(context, arrived, None, caller, &told, body).await,
-        [index, "_msearch"] if read => msearch(context, arrived, Some(index), caller, &told, body).await,
-        ["_search"] if read => search(context, arrived, "_all", caller, &told, body).await,
-        [index, "_search"] if read => search(context, arrived, index, caller, &told, body).await,
-        ["_count"] if read => count(context, arrived, "_all", caller, &told, body).await,
-        [index, "_count"] if read => count(context, arrived, index, caller, &told, body).await,
+        ["_msearch"] if read => msearch(context, arrived, None, caller, &parameters, body).await,
+        [index, "_msearch"] if read => {
+            msearch(context, arrived, Some(index), caller, &parameters, body).await
+        }
+        ["_search"] if read => search(context, arrived, "_all", caller, &parameters, body).await,
+        [index, "_search"] if read => search(context, arrived, index, caller, &parameters, body).await,
+        ["_count"] if read => count(context, arrived, "_all", caller, &parameters, body).await,
+        [index, "_count"] if read => count(context, arrived, index, caller, &parameters, body).await,
         [index] if get && !index.starts_with('_') => {
             let (name, index) = find(front, index)?;
             plain(
@@ -328,7 +334,7 @@
     }
 }
 
-/// What a query came to: the shards' answers, as far as they can be used.
+/// The outcome of a query: the shards' answers that can be used, and what became of the others.
 struct Gathered<'a> {
     index: &'a str,
     shards: Shards,
@@ -336,8 +342,9 @@
     began: Instant,
 }
 
+/// Asks the shards of an index; the answer to the client if too few of theirs can be used.
 async fn gather<'a>(
-    context: &'a Context, arrived: u64, name: &str, caller: &Caller, told: &Parameters, search: &Search,
+    context: &'a Context, arrived: u64, name: &str, caller: &Caller, parameters: &Parameters, search: &Search,
 ) -> Result<Gathered<'a>, Answer> {
     let began = Instant::now();
     let (front, names) = (&context.front, context.queries.names().clone());
@@ -349,13 +356,13 @@
     };
     let header = |name: &str| caller.headers.get(name).and_then(|value| value.to_str().ok());
     let by_network = || front.networks.find(caller.address);
-    let told_tenant = match front.by {
+    let named_tenant = match front.by {
         TenantBy::Header => header(&front.tenant_header),
         TenantBy::Network => by_network(),
         TenantBy::Certificate => caller.name.as_deref(),
         TenantBy::Either => header(&front.tenant_header).or_else(by_network),
     };
-    let tenant = told_tenant.or(front.tenant.as_deref());
+    let tenant = named_tenant.or(front.tenant.as_deref());
     let tenant = match tenant {
         _ if names.tenants.is_empty() => 0,
         Some(tenant) => names.tenants.iter().position(|name| name == tenant).ok_or_else(|| {
@@ -366,17 +373,21 @@
             return Err(shape::error(401, "security_exception", reason));
         }
     };
-    let wanted = |shard: &u32| told.only.as_ref().is_none_or(|only| only.contains(shard));
+    let wanted = |shard: &u32| parameters.only.as_ref().is_none_or(|only| only.contains(shard));
     let chosen: Vec<(u32, f64)> =
         settings.shards.iter().filter(|(shard, _)| wanted(shard)).copied().collect();
-    if chosen.is_empty() || told.only.as_ref().is_some_and(|only| only.len() != chosen.len()) {
+    if chosen.is_empty() || parameters.only.as_ref().is_some_and(|only| only.len() != chosen.len()) {
         let reason = format!("the preference names shards that index [{index}] does not have");
         return Err(shape::error(400, "illegal_argument_exception", &reason));
     }
     let sum: f64 = chosen.iter().map(|(_, weight)| weight).sum();
     let longest = names.deadlines.get(class).copied().unwrap_or_default();
-    let stated =
-        search.timeout.as_deref().and_then(duration_ms).or(told.timeout).map(|ms| ms.saturating_mul(MS));
+    let stated = search
+        .timeout
+        .as_deref()
+        .and_then(duration_ms)
+        .or(parameters.timeout)
+        .map(|ms| ms.saturating_mul(MS));
     context.last.set(context.last.get() + 1);
     let text = serde_json::to_vec(&search.for_shards()).unwrap_or_default();
     let query = Query {
@@ -405,9 +416,10 @@
             return Err(shape::failed(503, index, &shards, "all shards failed or were too late"));
         }
     };
-    let held: usize = hits.iter().map(|hit| hit.doc.len()).sum();
-    if held > front.most_answer {
-        let reason = format!("the shards' answers hold {held} bytes, and {} may be held", front.most_answer);
+    let answer_bytes: usize = hits.iter().map(|hit| hit.doc.len()).sum();
+    if answer_bytes > front.most_answer {
+        let reason =
+            format!("the shards' answers hold {answer_bytes} bytes, and {} may be held", front.most_answer);
         let mut answer = shape::error(429, "circuit_breaking_exception", &reason);
         answer.body["error"]["durability"] = json!("PERMANENT");
         return Err(answer);
@@ -432,43 +444,43 @@
         let reason = format!("{} of {} shards failed", shards.failures.len(), shards.total);
         return Err(shape::failed(503, index, &shards, &reason));
     }
-    if told.partial == Some(false) && shards.successful < shards.total {
+    if parameters.partial == Some(false) && shards.successful < shards.total {
         return Err(shape::failed(503, index, &shards, "Partial shards failure"));
     }
     Ok(Gathered { index, shards, answers, began })
 }
 
-fn read(told: &Parameters, body: &[u8]) -> Result<Search, Answer> {
+/// Reads a search: its body, with the URL's parameters in force over it.
+fn read(parameters: &Parameters, body: &[u8]) -> Result<Search, Answer> {
     let mut search = Search::read(body).map_err(|problem| shape::problem(&problem))?;
-    // What stands in the address goes before the body.
-    search.from = told.from.or(search.from);
-    search.size = told.size.or(search.size);
-    search.track_total_hits = told.track.or(search.track_total_hits);
+    search.from = parameters.from.or(search.from);
+    search.size = parameters.size.or(search.size);
+    search.track_total_hits = parameters.track.or(search.track_total_hits);
     search.check().map_err(|problem| shape::problem(&problem))?;
     Ok(search)
 }
 
 async fn search(
-    context: &Context, arrived: u64, index: &str, caller: &Caller, told: &Parameters, body: &[u8],
+    context: &Context, arrived: u64, index: &str, caller: &Caller, parameters: &Parameters, body: &[u8],
 ) -> Result<Vec<u8>, Answer> {
-    let search = read(told, body)?;
+    let search = read(parameters, body)?;
     let Gathered { index, shards, answers, began } =
-        gather(context, arrived, index, caller, told, &search).await?;
+        gather(context, arrived, index, caller, parameters, &search).await?;
     let merged = merge::merge(&search, answers);
     Ok(shape::found(index, &search, began.elapsed(), &shards, &merged))
 }
 
 async fn count(
-    context: &Context, arrived: u64, index: &str, caller: &Caller, told: &Parameters, body: &[u8],
+    context: &Context, arrived: u64, index: &str, caller: &Caller, parameters: &Parameters, body: &[u8],
 ) -> Result<Vec<u8>, Answer> {
-    let mut search = read(told, body)?;
+    let mut search = read(parameters, body)?;
     if search.size.is_some() || search.from.is_some() || !search.sort.is_empty() || !search.aggs.is_empty() {
         return Err(shape::error(400, "parsing_exception", "a count takes a query only"));
     }
     search.size = Some(0);
     search.track_total_hits = Some(Track::Flag(true));
     let Gathered { index, shards, answers, .. } =
-        gather(context, arrived, index, caller, told, &search).await?;
+        gather(context, arrived, index, caller, parameters, &search).await?;
     let total = merge::merge(&search, answers).total.map_or(0, |total| total.value);
     Ok(serde_json::to_vec(&shape::counted(index, &shards, total).body).unwrap_or_default())
 }
@@ -487,7 +499,7 @@
 /// Searches one after another on their lines, asked a few at a time and answered in their order. One that can't be
 /// read is answered with its error; it does not touch the others.
 async fn msearch(
-    context: &Rc<Context>, arrived: u64, index: Option<&str>, caller: &Caller, told: &Parameters,
+    context: &Rc<Context>, arrived: u64, index: Option<&str>, caller: &Caller, parameters: &Parameters,
     body: &Bytes,
 ) -> Result<Vec<u8>, Answer> {
     let began = Instant::now();
@@ -518,7 +530,7 @@
             }
         }
         let (line, body) = (pair[0].to_vec(), body.slice_ref(pair[1]));
-        let (context, caller, mut told) = (context.clone(), caller.clone(), told.clone());
+        let (context, caller, mut parameters) = (context.clone(), caller.clone(), parameters.clone());
         let index = index.map(str::to_string);
         open.spawn_local(async move {
             let asked = async {
@@ -547,11 +559,12 @@
                     return Err(shape::error(400, "illegal_argument_exception", reason));
                 }
                 if let Some(preference) = line.preference {
-                    told.only = parameters("/_msearch", Some(&format!("preference={preference}")))?.only;
+                    parameters.only =
+                        read_parameters("/_msearch", Some(&format!("preference={preference}")))?.only;
                 }
-                told.partial = line.allow_partial_search_results.or(told.partial);
+                parameters.partial = line.allow_partial_search_results.or(parameters.partial);
                 let name = named.or(index.as_deref()).unwrap_or("_all");
-                search(&context, arrived, name, &caller, &told, &body).await
+                search(&context, arrived, name, &caller, &parameters, &body).await
             };
             (at, asked.await)
         });
