--- a/crates/mixer/src/protocol/http.rs
+++ b/crates/mixer/src/protocol/http.rs
@@ -1,5 +1,5 @@
-//! HTTP/1.1 as the client side and the discovery agent speak it: a server codec for whole requests and a
-//! client codec for one watch. Bodies have a length or come in chunks; a request's holds 64 KiB at most.
+//! HTTP/1.1 with clients and with discovery: a server codec for whole requests and a client codec for one watch. Bodies
+//! have a length or come in chunks.
 
 use super::discovery::{Objects, MOST_OBJECT};
 use crate::interface::Nanos;
@@ -8,20 +8,25 @@
 use std::time::Duration;
 use tokio_util::codec::{Decoder, Encoder};
 
+/// Bytes of the largest body of a request.
 pub const MOST_BODY: usize = 64 * 1024;
-/// A head beyond this is refused: it has to fit in one buffer of the pool.
+/// Bytes of the largest head, which has to fit in one buffer of the pool.
 pub const MOST_HEAD: usize = 8 * 1024;
+/// Header fields that a head may have.
 const MOST_HEADERS: usize = 64;
-/// A chunk's size line, with extensions, that is longer than this is not meant for us.
+/// Bytes of the longest size line of a chunk, with its extensions.
 const MOST_CHUNK_LINE: usize = 256;
 
-/// Why a request is turned away before any decision, with the status that says so.
+/// Why a request can't be used, and the status of the response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rejection {
+    /// The HTTP status.
     pub status: u16,
+    /// The reason in the response's body; with 405, the method that is allowed.
     pub why: &'static str,
 }
 
+/// A rejection with status 400.
 pub const fn bad(why: &'static str) -> Rejection {
     Rejection { status: 400, why }
 }
@@ -34,25 +39,32 @@
     /// Names in lower case.
     pub headers: Vec<(String, String)>,
     pub body: Bytes,
+    /// The client allows another request on this connection.
     pub keep_alive: bool,
 }
 
 impl Request {
+    /// The value of the first header field of this name, which has to be in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
     }
 }
 
+/// One whole response, with a JSON body.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Response {
+    /// The HTTP status.
     pub status: u16,
+    /// `Retry-After`, in nanoseconds; rounded up to milliseconds when it is written.
     pub retry_after: Option<Nanos>,
+    /// `Allow`: the method that is allowed.
     pub allow: Option<&'static str>,
     pub body: Vec<u8>,
+    /// The connection ends after it.
     pub close: bool,
 }
 
-/// Reads a body piece by piece, so that the buffer of a connection never holds more than a head.
+/// What comes next of a body. It is read piece by piece, so that a connection's buffer never contains more than a head.
 #[derive(Debug, PartialEq)]
 enum Body {
     Length(usize),
@@ -63,7 +75,7 @@
     Done,
 }
 
-/// What was wrong with a body; the status depends on who reads it.
+/// What is wrong with a body; the status depends on who reads it.
 #[derive(Debug, PartialEq)]
 enum Broken {
     Chunk,
@@ -71,7 +83,8 @@
 }
 
 impl Body {
-    /// Moves what has arrived of the body from `src` to `out`; true once the body is whole.
+    /// Moves what has arrived of the body from `src` to `out`, which may grow to `most` bytes; true once the body is
+    /// whole.
     fn read(&mut self, src: &mut BytesMut, out: &mut BytesMut, most: usize) -> Result<bool, Broken> {
         loop {
             match self {
@@ -122,7 +135,7 @@
     }
 }
 
-/// How a body is framed, from the headers; none where neither a length nor chunks are stated.
+/// How a body is framed, by the headers; `None` where they state neither a length nor chunks.
 fn framing(headers: &[httparse::Header]) -> Result<Option<Body>, &'static str> {
     let mut body = None;
     for header in headers {
@@ -131,7 +144,7 @@
             // Digits only: a sign or a list here is how requests are smuggled past a front.
             let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
             let text = std::str::from_utf8(value).ok().filter(|_| digits).ok_or("bad length")?;
-            // A length past any number is still only too large.
+            // A length that overflows is too large, not malformed.
             Body::Length(text.parse().unwrap_or(usize::MAX))
         } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
             if !value.eq_ignore_ascii_case(b"chunked") {
@@ -149,8 +162,8 @@
     Ok(body)
 }
 
-/// The server's side of one connection. After a rejection it reads nothing more: where the next request
-/// would begin is not known.
+/// The server's side of one connection. After a rejection it reads nothing more, as where the next request begins is
+/// not known.
 #[derive(Default)]
 pub struct ServerCodec {
     head: Option<(Request, Body)>,
@@ -164,12 +177,12 @@
         self.head.is_some()
     }
 
-    /// A request was rejected; what still comes is thrown away.
+    /// A request was rejected; what still comes is discarded.
     pub fn is_dead(&self) -> bool {
         self.dead
     }
 
-    /// The request that is being read is not waited for any longer.
+    /// Stops waiting for the request that is being read; what still comes is discarded.
     pub fn give_up(&mut self) {
         self.dead = true;
     }
@@ -240,7 +253,7 @@
         Ok(item)
     }
 
-    /// A client may close with half a request sent; it has left, which is no error of ours.
+    /// A client may close in the middle of a request; that is its end, not an error.
     fn decode_eof(&mut self, src: &mut BytesMut) -> io::Result<Option<Self::Item>> {
         let item = self.decode(src)?;
         if item.is_none() {
@@ -277,7 +290,7 @@
             response.body.len()
         );
         if let Some(after) = response.retry_after {
-            // Milliseconds, rounded up: advice must not let a client come back before its time.
+            // Milliseconds, rounded up: a client must not come back early.
             head += &format!("Retry-After: {:.3}\r\n", after.div_ceil(1_000_000) as f64 / 1000.0);
         }
         if let Some(allow) = response.allow {
@@ -293,13 +306,15 @@
     }
 }
 
-/// A watch to be asked for, from a version on, or the whole list once.
+/// A request to discovery for a watch on the list of replicas, or for the whole list once.
 pub struct WatchRequest {
+    /// The value of `Host`.
     pub host: String,
+    /// The version from which on changes are sent; `None` for the whole list.
     pub from: Option<u64>,
 }
 
-/// The client's side of one watch: a request out, then objects as they come.
+/// The client's side of one watch: sends one request, then reads JSON objects as they come.
 #[derive(Default)]
 pub struct WatchCodec {
     body: Option<Body>,
@@ -318,10 +333,12 @@
     }
 }
 
-/// Discovery does not serve a watch now, and says for how long where it knows.
+/// Discovery answered with a status other than 200.
 #[derive(Debug, PartialEq)]
 pub struct TurnedAway {
+    /// The HTTP status.
     pub status: u16,
+    /// The least wait before the next try, where discovery states one.
     pub retry_after: Option<Duration>,
 }
 
@@ -334,7 +351,7 @@
     }
 }
 
-/// `Retry-After` in seconds, whole or decimal; a date or nonsense says nothing.
+/// `Retry-After` in seconds, whole or decimal; a date or a malformed value counts as none.
 fn retry_after(headers: &[httparse::Header]) -> Option<Duration> {
     let header = headers.iter().find(|header| header.name.eq_ignore_ascii_case("retry-after"))?;
     let seconds: f64 = std::str::from_utf8(header.value).ok()?.trim().parse().ok()?;
@@ -368,7 +385,8 @@
 }
 
 impl Decoder for WatchCodec {
-    /// One whole object, or nothing where what came is none yet: it shows that the agent lives.
+    /// One whole object, or no bytes where an object is not whole yet: that discovery sends at all shows that it is
+    /// alive.
     type Item = Bytes;
     type Error = io::Error;
 
--- a/crates/mixer/src/protocol/leaf.rs
+++ b/crates/mixer/src/protocol/leaf.rs
@@ -1,70 +1,83 @@
-//! The frames between a mixer and a leaf server: a length, a letter, the rest.
+//! The frames between a mixer and a leaf server: the length of what follows (4 bytes, big-endian), a letter for the
+//! kind, and the body.
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::io::{self, ErrorKind};
 use std::rc::Rc;
 use tokio_util::codec::{Decoder, Encoder};
 
-/// The longest answer: a value that still fits a body to a client, and its line. Other frames are a few
-/// words.
+/// Bytes of the longest answer: a value that still fits the body of a reply to a client, and its line.
 const MOST_ANSWER: usize = 64 * 1024 + 512;
-const MOST_WORDS: usize = 1024;
+/// Bytes of the longest frame of any other kind.
+const MOST_REPORT: usize = 1024;
 
 /// A part as it goes into a call. The id stands for the part at the leaf server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CallPart {
     pub id: Rc<str>,
     pub shard: u32,
+    /// For how many milliseconds the mixer waits for the answer.
     pub wait_ms: u64,
+    /// The text of the query.
     pub text: Bytes,
 }
 
+/// A frame to a leaf server.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ToLeaf {
+    /// Runs parts.
     Call(Vec<CallPart>),
+    /// Cancels the part of this id.
     GiveUp(Rc<str>),
+    /// Asks whether the server serves.
     Probe,
+    /// Asks for its load, too.
     ProbeLoad,
 }
 
-/// How a leaf server says that a part ended.
+/// How a part ended at the leaf server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
+    /// Run; the answer has its value.
     Ok,
+    /// Failed.
     Err,
+    /// Refused for lack of room.
     Busy,
 }
 
+/// A frame from a leaf server.
 #[derive(Clone, Debug, PartialEq)]
 pub enum FromLeaf {
+    /// The end of one part.
     Answer {
+        /// The part's id in the call.
         id: String,
         end: End,
+        /// The load report, not yet parsed; `-` if there is none.
         report: String,
         value: Bytes,
     },
-    Probed {
-        ok: bool,
-        report: String,
-    },
+    /// The answer to a probe.
+    Probed { ok: bool, report: String },
     /// The frame before could not be used; the leaf server closes the connection.
     Complaint(String),
-    /// What can't be read, with the id it is for if that can. Where the next frame begins is not known, so
+    /// A corrupt frame, with the id that it is for if that can be read. Where the next frame begins is not known, so
     /// the connection is of no more use.
     Spoilt(Option<String>),
 }
 
-/// After what it can't read it reads nothing more.
+/// Encodes and decodes the frames of one connection. After a corrupt frame it reads nothing more.
 #[derive(Default)]
 pub struct LeafCodec {
     dead: bool,
 }
 
 impl LeafCodec {
-    /// What is held of a frame whose rest does not come: given up.
-    pub fn cut_short(&mut self, held: &[u8]) -> FromLeaf {
+    /// Gives up a frame whose rest did not come in time, of which `received` has been read; it counts as corrupt.
+    pub fn cut_short(&mut self, received: &[u8]) -> FromLeaf {
         self.dead = true;
-        spoilt(held.get(4..).unwrap_or_default())
+        spoilt(received.get(4..).unwrap_or_default())
     }
 }
 
@@ -107,12 +120,12 @@
         }
         let Some(head) = src.first_chunk::<4>() else { return Ok(None) };
         let length = u32::from_be_bytes(*head) as usize;
-        // Both are checked before the rest is waited for: a length that no frame has would be waited for in
-        // vain.
+        // Kind and length are checked before the rest has come: the rest of a frame of an impossible length never
+        // comes.
         let fits = match src.get(4) {
             None => (1..=MOST_ANSWER).contains(&length),
             Some(b'A') => (2..=MOST_ANSWER).contains(&length),
-            Some(b'P' | b'L' | b'E') => (1..=MOST_WORDS).contains(&length),
+            Some(b'P' | b'L' | b'E') => (1..=MOST_REPORT).contains(&length),
             Some(_) => false,
         };
         if !fits {
@@ -143,25 +156,25 @@
     }
 }
 
-/// A frame that can't be read, from its letter on. The id is worth something only if it is there to its end.
+/// A corrupt frame, from its letter on. Its id is used only if all of it has been read.
 fn spoilt(body: &[u8]) -> FromLeaf {
-    let words = body.strip_prefix(b"A").unwrap_or_default();
-    let id = words.iter().position(|b| *b == b' ').map(|end| &words[..end]);
+    let line = body.strip_prefix(b"A").unwrap_or_default();
+    let id = line.iter().position(|b| *b == b' ').map(|end| &line[..end]);
     FromLeaf::Spoilt(id.and_then(|id| std::str::from_utf8(id).ok()).map(str::to_string))
 }
 
-/// An answer, if all of its line is as it should be. A report that can't be read is only no report.
+/// An answer, if its line is well formed. A report that can't be parsed counts as none.
 fn answer(rest: Bytes) -> Option<FromLeaf> {
     let end = rest.iter().position(|b| *b == b'\n')?;
     let line = std::str::from_utf8(&rest[..end]).ok()?;
-    let mut words = line.splitn(4, ' ');
-    let (id, word, score, report) = (words.next()?, words.next()?, words.next()?, words.next()?);
+    let mut fields = line.splitn(4, ' ');
+    let (id, status, score, report) = (fields.next()?, fields.next()?, fields.next()?, fields.next()?);
     let value = rest.slice(end + 1..);
     if score != "-" && score.parse::<f64>().is_err() {
         return None;
     }
-    let end = match word {
-        // A client gets the value inside JSON; what is no text could not reach it unchanged.
+    let end = match status {
+        // A client gets the value inside JSON; one that is not UTF-8 could not reach it unchanged.
         "ok" if !value.is_empty() && std::str::from_utf8(&value).is_ok() => End::Ok,
         "err" => End::Err,
         "busy" => End::Busy,
--- a/crates/mixer/src/protocol/query.rs
+++ b/crates/mixer/src/protocol/query.rs
@@ -1,5 +1,5 @@
-//! Queries as clients put them over HTTP, and the replies: the only place that knows this dialect. Another
-//! protocol makes the same [`Asked`] from its own requests and renders the same [`Reply`].
+//! The native protocol over HTTP: requests to typed queries, and replies to responses. A front of another protocol
+//! makes the same [`Asked`] from its own requests and renders the same [`Reply`].
 
 use super::http::{bad, Rejection, Request, Response};
 use crate::interface::Nanos;
@@ -12,17 +12,21 @@
 pub struct Names {
     pub classes: Vec<String>,
     pub tenants: Vec<String>,
-    /// For each class, how long a client waits that does not say.
+    /// For each class, the client's timeout where the request states none, in nanoseconds.
     pub deadlines: Vec<Nanos>,
     /// For each class, the least share of the weight that an answer may rest on.
     pub floors: Vec<f64>,
+    /// How many shards there are; they are numbered from 0.
     pub shards: u32,
 }
 
+/// One part of a query: a shard to search.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AskedPart {
     pub shard: u32,
+    /// Its share of the whole answer; the shares of a query add up to 1.
     pub weight: f64,
+    /// The client's estimate of the work, in nanoseconds.
     pub work: Option<Nanos>,
 }
 
@@ -31,10 +35,13 @@
 pub struct Query {
     /// The client's name for it; its parts' names begin with it.
     pub name: String,
+    /// The class's index in [`Names::classes`].
     pub class: u16,
+    /// The tenant's index in [`Names::tenants`]; 0 where there are none.
     pub tenant: u32,
-    /// How long the client waits, from the moment it sent the query.
+    /// How long the client waits from when it sent the query, in nanoseconds.
     pub timeout: Nanos,
+    /// The client marked it as a repeat of an earlier try.
     pub repeat: bool,
     /// The client's own name for a use, the same on each of its tries.
     pub idempotency_key: Option<String>,
@@ -42,34 +49,46 @@
     pub text: Bytes,
 }
 
-/// What a client wants.
+/// A request that can be used.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Asked {
+    /// A query to run.
     Query(Query),
+    /// Whether the mixer is ready.
     Ready,
+    /// The counters.
     Stats,
 }
 
+/// What one shard contributes to an answer.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Hit {
     pub shard: u32,
+    /// The value that the leaf server returned.
     pub doc: String,
 }
 
-/// What a client is told.
+/// The one reply to a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
+    /// A query's answer from all of its parts, or from enough of them.
     Answer {
+        /// Whether all parts are in it.
         whole: bool,
         hits: Vec<Hit>,
     },
+    /// The query is refused for now.
     Refused {
+        /// After how many nanoseconds the client may try again, if that is known.
         come_back: Option<Nanos>,
     },
+    /// The query failed.
     Failed,
+    /// Whether the mixer is ready.
     Ready(bool),
     /// The counters, as JSON.
     Stats(Vec<u8>),
+    /// The request could not be used.
     Rejected(Rejection),
 }
 
@@ -87,7 +106,11 @@
     cost: Option<f64>,
 }
 
-/// Reads what a request wants, or says what is wrong with it.
+/// Parses a request.
+///
+/// # Errors
+/// The rejection that the client is sent: an unknown path, class, tenant or shard, a wrong method, or a header or body
+/// that is missing or malformed.
 pub fn read(request: &Request, names: &Names) -> Result<Asked, Rejection> {
     let path = request.path.split(['?', '#']).next().unwrap_or_default();
     let wanted = |method: &'static str, asked: Asked| {
@@ -106,7 +129,7 @@
         return Err(Rejection { status: 405, why: "POST" });
     }
     let name = request.header("x-request-id").ok_or(bad("X-Request-ID is missing"))?;
-    // It goes into lines between mixer and leaf server: a blank or a control character would forge one.
+    // It becomes a part of lines between mixer and leaf server: a blank or a control character could forge another.
     if name.is_empty() || name.len() > 128 || !name.bytes().all(|b| b.is_ascii_graphic()) {
         return Err(bad("X-Request-ID is not a plain word"));
     }
@@ -144,10 +167,10 @@
 /// Bytes that an `Idempotency-Key` may have.
 const MOST_KEY: usize = 128;
 
-/// How far the weights of a query may be off a sum of 1: they are rounded, each by a little.
+/// How far the sum of a query's weights may be off 1, as each is rounded.
 const ROUNDING: f64 = 0.01;
 
-/// The parts, each shard once: a second one would have the same name at the leaf server.
+/// The parts, each shard once: a second part of one shard would have the same id at the leaf server.
 fn parts(shards: Vec<Shard>, most: u32) -> Result<Vec<AskedPart>, Rejection> {
     let mut seen = BTreeSet::new();
     if shards.is_empty() {
@@ -169,7 +192,7 @@
     fits.then_some(parts).ok_or(bad("weights that do not add up to 1"))
 }
 
-/// An hour, in ns, is longer than any deadline or work; more would only overflow sums of times.
+/// The longest time that is kept, in nanoseconds: an hour exceeds any deadline or work, and sums of it don't overflow.
 const LONGEST: f64 = 3.6e12;
 
 /// A number followed by `m` (milliseconds) or `u` (microseconds).
@@ -180,7 +203,7 @@
         "u" => 1e3,
         _ => return None,
     };
-    // Digits and a point: what else parses as a number (signs, exponents, nan) no client sends that means it.
+    // Digits and a point only: signs, exponents and NaN would parse as numbers, too.
     let plain = number.bytes().all(|b| b.is_ascii_digit() || b == b'.');
     let number: f64 = number.parse().ok().filter(|_| plain)?;
     Some((number * unit).min(LONGEST) as Nanos)
@@ -192,11 +215,12 @@
     hits: &'a [Hit],
 }
 
+/// A JSON body with an error's text.
 fn note(text: &str) -> Vec<u8> {
     serde_json::to_vec(&serde_json::json!({ "error": text })).unwrap_or_default()
 }
 
-/// Renders a reply; `close` says that this connection ends with it.
+/// Renders a reply; with `close`, the connection ends after it.
 pub fn render(reply: &Reply, close: bool) -> Response {
     let plain = |status: u16, body: Vec<u8>| Response { status, body, close, ..Response::default() };
     match reply {
