--- a/crates/mixer/src/routing/usage.rs
+++ b/crates/mixer/src/routing/usage.rs
@@ -1,20 +1,20 @@
-//! What a query was used for, as the ledger counts it: one record for each query that ended.
+//! Usage records, as the ledger counts them: one for each query that ended.
 
 use crate::interface::Nanos;
 use xxhash_rust::xxh3::Xxh3;
 
-/// What joins the tries of one use: the same at every mixer and in every run, so that a retry elsewhere is known
-/// again. Odd if the client gave it; 0 is no key.
+/// The key that joins the tries of one use: the same at every mixer and in every run, so that a retry at another mixer
+/// is recognised. Odd if the client gave it; 0 is no key.
 pub type JoinKey = u64;
 
-/// The key of a use that its client has named.
+/// The key of a use for which the client gave an idempotency key.
 pub fn key_of_client(class: &str, key: &str) -> JoinKey {
     let mut hash = hash_of(class);
     hash.update(key.as_bytes());
     hash.digest() | 1
 }
 
-/// The key of a use by what it asks: the class, the parts in any order, and the text.
+/// The key of a use by the content of its query: the class, the parts (shard and weight) in any order, and the text.
 pub fn key_of_query(class: &str, parts: impl Iterator<Item = (u32, f64)>, text: &[u8]) -> JoinKey {
     let mut parts: Vec<_> = parts.map(|(shard, weight)| (shard, weight.to_bits())).collect();
     parts.sort_unstable();
@@ -43,10 +43,13 @@
 /// How a query ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Outcome {
+    /// Answered from all parts.
     Whole,
     /// Answered from parts with this share of the weight, in millionths.
     Partial(u32),
+    /// Refused, with advice to come back.
     Refused,
+    /// Neither answered nor refused in time.
     Failed,
     /// The client left before the answer.
     Left,
@@ -57,18 +60,23 @@
 pub struct Usage {
     /// Counts from 1 over the records of this run, without a gap.
     pub sequence: u64,
-    /// By the settings' numbers.
+    /// The tenant's index in the settings.
     pub tenant: u32,
+    /// The class's index in the settings.
     pub class: u16,
     /// Unix nanoseconds by this mixer's clock; never before what a mark has said to be complete.
     pub arrived: Nanos,
+    /// How it ended for its client.
     pub outcome: Outcome,
+    /// Parts that the query asked for.
     pub parts: u32,
+    /// Attempts at them, with repeats.
     pub attempts: u32,
     /// Of the attempts, those to replicas in other zones.
     pub crossed: u32,
     /// The client marked it as a repeat of an earlier try.
     pub repeat: bool,
+    /// Joins it with other tries of the same use.
     pub key: JoinKey,
     /// The key is one that the client gave.
     pub keyed: bool,
@@ -78,8 +86,10 @@
 /// that arrived before it will follow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Mark {
+    /// The last sequence number that it covers.
     pub sequence: u64,
+    /// Unix nanoseconds by this mixer's clock.
     pub complete: Nanos,
-    /// Nothing at all follows: the mixer ends.
+    /// No record follows: the mixer ends.
     pub end: bool,
 }
