--- a/crates/mixer/src/transport/clock.rs
+++ b/crates/mixer/src/transport/clock.rs
@@ -1,10 +1,10 @@
-//! The one clock: Unix time as read at the start, plus what has passed since.
+//! The mixer's one clock: Unix time as read at the start, plus the monotonic time since.
 
 use crate::interface::Nanos;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
-/// Never steps back or jumps, and still compares with the start times that discovery states.
+/// A clock that never steps, whose times can be compared with the start times that discovery states.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     began: Instant,
@@ -12,15 +12,18 @@
 }
 
 impl Clock {
+    /// A clock that reads the system's time once, now.
     pub fn start() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { began: Instant::now(), unix: unix.as_nanos() as Nanos }
     }
 
+    /// The time in Unix nanoseconds.
     pub fn now(&self) -> Nanos {
         self.unix + self.began.elapsed().as_nanos() as Nanos
     }
 
+    /// The instant of a time in Unix nanoseconds, for timers; the clock's start for times before it.
     pub fn instant(&self, at: Nanos) -> Instant {
         self.began + Duration::from_nanos(at.saturating_sub(self.unix))
     }
--- a/crates/mixer/src/transport/pool.rs
+++ b/crates/mixer/src/transport/pool.rs
@@ -1,4 +1,4 @@
-//! Buffers of one size, used again: a connection takes two while it lives.
+//! A pool of buffers of one size: each connection takes two while it is open.
 
 use bytes::BytesMut;
 use std::cell::RefCell;
@@ -6,11 +6,12 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio_util::codec::{Encoder, Framed, FramedParts};
 
-/// Room for a head of a request and for nearly every frame and answer.
+/// Bytes of one buffer: room for the head of a request and for nearly every frame and answer.
 pub const BUFFER: usize = 16 * 1024;
-/// Buffers kept for later: 4 MiB at the most.
+/// Free buffers that are kept: 4 MiB in all.
 const MOST_FREE: usize = 256;
 
+/// The free buffers; clones share them.
 #[derive(Clone, Debug, Default)]
 pub struct Pool(Rc<RefCell<Vec<BytesMut>>>);
 
@@ -19,7 +20,7 @@
         self.0.borrow_mut().pop().unwrap_or_else(|| BytesMut::with_capacity(BUFFER))
     }
 
-    /// One that had to grow for a large message is let go, or all would end up large.
+    /// Takes a buffer back. One that had to grow for a large message is freed, or all would end up large.
     fn give(&self, mut buffer: BytesMut) {
         buffer.clear();
         let mut free = self.0.borrow_mut();
@@ -28,7 +29,7 @@
         }
     }
 
-    /// A connection that writes messages of type `M`.
+    /// A connection that writes messages of type `M`, with two buffers of the pool.
     pub fn frame<M, T: AsyncRead + AsyncWrite, C: Encoder<M>>(&self, io: T, codec: C) -> Framed<T, C> {
         let mut parts = FramedParts::new::<M>(io, codec);
         parts.read_buf = self.take();
@@ -36,7 +37,7 @@
         Framed::from_parts(parts)
     }
 
-    /// Takes a connection's buffers back and gives the connection itself up.
+    /// Takes a connection's buffers back and drops the connection.
     pub fn recover<T: AsyncRead + AsyncWrite, C>(&self, framed: Framed<T, C>) {
         let parts = framed.into_parts();
         self.give(parts.read_buf);
