Describe the transport's connections in the field's terms

clients.rs, leaf.rs and mod.rs: timeouts, pipelined requests, reading ahead, discarded bytes and exchanged frames in place of patience with slow readers, early requests, what is kept or thrown away, and speaking; control commands come over controls, not told. A doc comment for each public item. Private names and comments only; log texts are as they were.

--- a/crates/mixer/src/transport/clients.rs
+++ b/crates/mixer/src/transport/clients.rs
@@ -1,4 +1,4 @@
-//! The listener and the clients' connections.
+//! The listener, and the connections of native clients: one task each, one request at a time.
 
 use super::pool::BUFFER;
 use super::{Shared, MOST_COMMANDS};
@@ -17,31 +17,33 @@
 use tokio::time::{sleep, timeout, Duration, Instant};
 use tokio_util::codec::Framed;
 
+/// What the driver asks of a client's connection.
 pub enum Command {
+    /// Send the reply to the open request; with `true`, end the connection after it.
     Reply(Box<Reply>, bool),
-    /// At once where others need its `room`.
+    /// End the connection unless a whole request has arrived on it.
     Close {
+        /// Without lingering, as another connection needs its place.
         room: bool,
     },
 }
 
-/// A request that has begun is whole within this, or its client is told that it took too long; the first
-/// one on a connection begins with the connection, so one that says nothing is closed.
-const WHOLE_REQUEST: Duration = Duration::from_secs(2);
-/// A client reads its answer within this, or its connection is given up.
-const SLOW_READER: Duration = Duration::from_secs(5);
-/// How long bytes are still read and thrown away on a connection that we end.
+/// A request has to be whole within this time from its first byte, or it is answered with 408. The first one on a
+/// connection begins with the connection, so that a client which sends nothing is closed.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// A response has to be written within this time, or the connection is closed.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long incoming bytes are still read and discarded on a connection that we end.
 const LINGER: Duration = Duration::from_secs(1);
 /// Bytes read at once where they are not decoded.
-const AHEAD_AT_ONCE: usize = 4 * 1024;
-/// After a failed accept (no descriptors left) before the next.
-const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
-
-/// How long after the last connection that came the listener is looked at once more before it ends.
+const READ_AHEAD_BYTES: usize = 4 * 1024;
+/// The wait after a failed accept (no descriptors left) before the next.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+/// When stopping, the listener ends once no connection has arrived for this time.
 const LAST_ACCEPT: Duration = Duration::from_millis(10);
 
-/// Accepts, with no more than `most` open, until it is stopped: what has come by then is accepted, too, as far as there
-/// is room. The end of a listener resets what it still holds.
+/// Accepts connections, with at most `most` open, until the mixer stops. Those that have arrived by then are accepted,
+/// too, as far as there is room: closing a listener resets the connections in its backlog.
 pub async fn listen(shared: Shared, listener: TcpListener, most: usize) {
     let mut stopped = shared.stopped.subscribe();
     loop {
@@ -51,7 +53,7 @@
             }
             listener.accept().await
         };
-        // Nothing is lost where this is dropped: what was accepted is admitted below.
+        // Cancellation loses nothing: a connection is taken from the backlog only when this completes.
         tokio::select! {
             biased;
             _ = stopped.wait_for(|stopped| *stopped) => break,
@@ -59,7 +61,7 @@
                 Ok((stream, _)) => admit(&shared, stream).await,
                 Err(e) => {
                     tracing::warn!("accept: {e}");
-                    sleep(ACCEPT_AGAIN).await;
+                    sleep(ACCEPT_RETRY).await;
                 }
             },
         }
@@ -72,32 +74,36 @@
     let _ = shared.inputs.send(Input::StoppedListening).await;
 }
 
-/// The reducer knows of a client before its task runs.
+/// Registers a client and starts its task. The reducer knows of the client before the task runs.
 async fn admit(shared: &Shared, stream: TcpStream) {
     let client = shared.client();
     let (commands, receiver) = mpsc::channel(MOST_COMMANDS);
     shared.clients.borrow_mut().insert(client, commands);
     let _ = shared.inputs.send(Input::ClientOpened { client }).await;
-    tokio::task::spawn_local(attend(shared.clone(), client, stream, receiver));
+    tokio::task::spawn_local(serve_client(shared.clone(), client, stream, receiver));
 }
 
 type Connection = Framed<TcpStream, ServerCodec>;
 type Incoming = Result<Request, Rejection>;
 
-/// Who ends a connection.
+/// How serving a connection ended.
 enum Ended {
-    /// The client has left, or said nothing for too long.
+    /// The client has closed it.
     ByClient,
+    /// We end it, and linger so that the last reply is not reset.
     ByUs,
-    /// By us, at once: others need its place.
+    /// We end it without lingering, as another connection needs its place.
     ForRoom,
 }
 
-async fn attend(shared: Shared, client: ClientId, stream: TcpStream, mut commands: mpsc::Receiver<Command>) {
+/// The task of one connection: serves it, ends it and reports its end to the reducer.
+async fn serve_client(
+    shared: Shared, client: ClientId, stream: TcpStream, mut commands: mpsc::Receiver<Command>,
+) {
     // A reply must not wait for more to fill a packet.
     let _ = stream.set_nodelay(true);
     let mut connection = shared.pool.frame::<Response, _, _>(stream, ServerCodec::default());
-    match converse(&shared, client, &mut connection, &mut commands).await {
+    match serve_requests(&shared, client, &mut connection, &mut commands).await {
         Ok(Ended::ByClient) => {}
         Ok(Ended::ByUs) => linger(&mut connection, &mut commands, LINGER).await,
         Ok(Ended::ForRoom) => linger(&mut connection, &mut commands, Duration::ZERO).await,
@@ -109,14 +115,14 @@
     let _ = shared.inputs.send(Input::ClientClosed { client }).await;
 }
 
-/// One request at a time until either side has had enough.
-async fn converse(
+/// Serves one request after another until either side ends the connection.
+async fn serve_requests(
     shared: &Shared, client: ClientId, connection: &mut Connection, commands: &mut mpsc::Receiver<Command>,
 ) -> io::Result<Ended> {
-    let mut early: Option<Incoming> = None;
+    let mut pipelined: Option<Incoming> = None;
     let mut begun = Some(Instant::now());
     loop {
-        let incoming = match early.take() {
+        let incoming = match pipelined.take() {
             Some(incoming) => incoming,
             None => match next_request(connection, commands, begun.take()).await? {
                 ControlFlow::Continue(incoming) => incoming,
@@ -126,7 +132,7 @@
         let arrived = shared.clock.now();
         let keep = incoming.as_ref().is_ok_and(|request| request.keep_alive);
         let asked = incoming.and_then(|request| query::read(&request, &shared.names));
-        // Who sends what can't be used does so again as soon as it is told: not on this connection.
+        // After a rejection the connection ends: the client would only send such a request again.
         let mut keep = keep && asked.is_ok();
         if shared.inputs.send(Input::Asked { client, arrived, asked }).await.is_err() {
             return Ok(Ended::ByUs);
@@ -139,17 +145,17 @@
                         let close = close || !keep;
                         break (query::render(&reply, close), close);
                     }
-                    // Crossed by this request, which is taken now; its reply will close.
+                    // It crossed this request, which is served; its reply will end the connection.
                     Some(Command::Close { .. }) => {}
                     None => return Ok(Ended::ByUs),
                 },
-                // Reading on shows at once when the client leaves; a request sent early waits its turn.
-                ahead = read_on(connection, early.is_some()) => match ahead? {
-                    Ahead::Request(next) => early = Some(next),
-                    Ahead::Kept => {}
-                    // Where the next request would begin is not known any more.
-                    Ahead::Lost => keep = false,
-                    Ahead::End => return Ok(Ended::ByClient),
+                // Reading on detects at once when the client closes; a pipelined request waits its turn.
+                ahead = read_ahead(connection, pipelined.is_some()) => match ahead? {
+                    ReadAhead::Request(next) => pipelined = Some(next),
+                    ReadAhead::Buffered => {}
+                    // Where the next request begins is not known any more.
+                    ReadAhead::Overflow => keep = false,
+                    ReadAhead::End => return Ok(Ended::ByClient),
                 },
             }
         };
@@ -160,76 +166,84 @@
     }
 }
 
-/// What came behind the request that is being served.
-enum Ahead {
+/// What arrived behind the request that is being served.
+enum ReadAhead {
+    /// The next request.
     Request(Incoming),
     /// Bytes behind a request that waits its turn.
-    Kept,
-    /// More than is kept for a client: thrown away.
-    Lost,
+    Buffered,
+    /// More bytes than the connection's buffer takes: they are discarded.
+    Overflow,
+    /// The client has closed the connection.
     End,
 }
 
-/// Reads on, behind a request that waits its turn as well: nothing else shows when the client leaves. What comes behind
-/// that one is kept as far as the connection's buffer holds it. May be dropped at any await.
-async fn read_on(connection: &mut Connection, waits: bool) -> io::Result<Ahead> {
+/// Reads on while a request is served, even behind a pipelined one (`waits`): nothing else detects that the client
+/// closes. Bytes behind a pipelined request are buffered up to the size of the connection's buffer. Cancel safe.
+async fn read_ahead(connection: &mut Connection, waits: bool) -> io::Result<ReadAhead> {
     if !waits {
-        return connection.next().await.transpose().map(|next| next.map_or(Ahead::End, Ahead::Request));
+        let next = connection.next().await.transpose()?;
+        return Ok(next.map_or(ReadAhead::End, ReadAhead::Request));
     }
     poll_fn(|cx| {
-        // No part of the many tasks that may wait here. The read yields now and then, however much comes.
-        let mut bytes = [0; AHEAD_AT_ONCE];
+        // On the stack, so that it does not enlarge the many tasks that wait here. The read yields to other tasks now
+        // and then, however much arrives.
+        let mut bytes = [0; READ_AHEAD_BYTES];
         let mut bytes = ReadBuf::new(&mut bytes);
         ready!(Pin::new(connection.get_mut()).poll_read(cx, &mut bytes))?;
-        let kept = connection.read_buffer_mut();
+        let buffer = connection.read_buffer_mut();
         Poll::Ready(Ok(if bytes.filled().is_empty() {
-            Ahead::End
-        } else if kept.len() + bytes.filled().len() > BUFFER {
-            Ahead::Lost
+            ReadAhead::End
+        } else if buffer.len() + bytes.filled().len() > BUFFER {
+            ReadAhead::Overflow
         } else {
-            kept.extend_from_slice(bytes.filled());
-            Ahead::Kept
+            buffer.extend_from_slice(bytes.filled());
+            ReadAhead::Buffered
         }))
     })
     .await
 }
 
-/// Says that no more is answered here, and throws away what still comes: to close over unread bytes would reset the
-/// connection, and the reset can overtake the reply before it. A client whose request crosses that sees the end
-/// and repeats it elsewhere, unharmed.
+/// Shuts the write side down and discards what still arrives, for `most` at the longest: closing over unread bytes
+/// would reset the connection, and the reset can overtake the last reply. A client whose next request crosses the
+/// shutdown sees the end of the connection and can repeat that request elsewhere, as it was not read.
 async fn linger(connection: &mut Connection, commands: &mut mpsc::Receiver<Command>, most: Duration) {
     if connection.get_mut().shutdown().await.is_err() {
         return;
     }
-    let mut thrown_away = sink();
-    let rest = copy(connection.get_mut(), &mut thrown_away);
+    let mut discarded = sink();
+    let rest = copy(connection.get_mut(), &mut discarded);
     tokio::select! {
         biased;
         _ = timeout(most, rest) => {}
-        // Its place is needed.
+        // A further command: another connection needs its place.
         _ = commands.recv() => {}
     }
 }
 
+/// Writes a response.
+///
+/// # Errors
+/// `TimedOut` if the client does not read it in time, or what the socket reports.
 async fn respond(connection: &mut Connection, response: Response) -> io::Result<()> {
-    match timeout(SLOW_READER, connection.send(response)).await {
+    match timeout(WRITE_TIMEOUT, connection.send(response)).await {
         Ok(sent) => sent,
         Err(_) => Err(io::ErrorKind::TimedOut.into()),
     }
 }
 
-/// Part of a request has been read.
+/// Whether part of a request has been read.
 fn in_request(connection: &Connection) -> bool {
     connection.codec().in_request() || !connection.read_buffer().is_empty()
 }
 
-/// What a read brought: a request, or the client's end.
-fn come(next: Option<io::Result<Incoming>>) -> io::Result<ControlFlow<Ended, Incoming>> {
+/// The result of a read: a request, or the end of the connection by the client.
+fn request_or_end(next: Option<io::Result<Incoming>>) -> io::Result<ControlFlow<Ended, Incoming>> {
     Ok(next.transpose()?.map_or(ControlFlow::Break(Ended::ByClient), ControlFlow::Continue))
 }
 
-/// The next request, or how the connection ends without one: the client has closed, says nothing on a new connection
-/// (which `opened` then), or the connection is to end between requests.
+/// The next request, or how the connection ends without one: the client closes it, sends nothing on a new connection
+/// (opened at `opened`), or the driver closes it between requests.
 async fn next_request(
     connection: &mut Connection, commands: &mut mpsc::Receiver<Command>, opened: Option<Instant>,
 ) -> io::Result<ControlFlow<Ended, Incoming>> {
@@ -237,25 +251,25 @@
     loop {
         tokio::select! {
             biased;
-            next = super::message(connection, &mut begun, WHOLE_REQUEST) => match next {
-                Ok(next) => return come(next),
+            next = super::message(connection, &mut begun, REQUEST_TIMEOUT) => match next {
+                Ok(next) => return request_or_end(next),
                 Err(_) if in_request(connection) => {
                     connection.codec_mut().give_up();
                     let why = "the request took too long";
                     return Ok(ControlFlow::Continue(Err(Rejection { status: 408, why })));
                 }
                 Err(_) if opened.is_some() => return Ok(ControlFlow::Break(Ended::ByUs)),
-                // Readiness was out of date: nothing has begun.
+                // A spurious readiness: no request has begun.
                 Err(_) => begun = None,
             },
             command = commands.recv() => match command {
-                // A request that is here whole is taken; half of one has no right to a place that others
-                // need.
+                // A request that has arrived whole is served; half of one does not keep a place that another connection
+                // needs.
                 Some(Command::Close { room }) => {
                     let whole = timeout(Duration::ZERO, connection.next()).await;
                     let ended = if room { Ended::ForRoom } else { Ended::ByUs };
                     return match whole {
-                        Ok(next) => come(next),
+                        Ok(next) => request_or_end(next),
                         Err(_) => Ok(ControlFlow::Break(ended)),
                     };
                 }
--- a/crates/mixer/src/transport/leaf.rs
+++ b/crates/mixer/src/transport/leaf.rs
@@ -11,19 +11,19 @@
 use tokio::task::AbortHandle;
 use tokio::time::Duration;
 
-/// A frame that has begun comes whole within this. Answers are a packet each: the rest of one that was cut
-/// short never comes, and all that is out on the connection would wait for it.
-const WHOLE_FRAME: Duration = Duration::from_millis(100);
+/// A frame has to be whole within this time from its first byte. Answers are a packet each: the rest of one that was
+/// cut short never arrives, and all that is in flight on the connection would wait for it.
+const FRAME_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// A connection as the driver holds it; letting it go closes the connection.
+/// The driver's handle of a connection; dropping it closes the connection.
 pub struct Handle {
     frames: mpsc::Sender<ToLeaf>,
     task: AbortHandle,
 }
 
 impl Handle {
-    /// The reducer hands over one frame at a time, so there is always room; were there none, the connection
-    /// would have to end, since a frame must not be lost in silence.
+    /// Writes a frame. The reducer hands over one at a time, so there is always room in the queue; were there none, the
+    /// connection would be closed, since a frame must not be lost unnoticed.
     pub fn write(&self, frame: ToLeaf) {
         if self.frames.try_send(frame).is_err() && !self.is_over() {
             tracing::error!("a connection to a leaf server has too many frames waiting");
@@ -31,6 +31,7 @@
         }
     }
 
+    /// Whether the connection has ended.
     pub fn is_over(&self) -> bool {
         self.task.is_finished()
     }
@@ -42,10 +43,11 @@
     }
 }
 
+/// Connects to a leaf server in a task of its own, which reports the connection's events to the reducer.
 pub fn open(shared: Shared, link: LinkId, address: SocketAddr) -> Handle {
     let (frames, receiver) = mpsc::channel(MOST_COMMANDS);
     let task = tokio::task::spawn_local(async move {
-        if let Err(e) = speak(&shared, link, address, receiver).await {
+        if let Err(e) = exchange_frames(&shared, link, address, receiver).await {
             tracing::debug!(link, %address, "leaf connection: {e}");
         }
         let _ = shared.inputs.send(Input::LinkClosed { link }).await;
@@ -53,7 +55,11 @@
     Handle { frames, task: task.abort_handle() }
 }
 
-async fn speak(
+/// Connects, then writes and reads frames until either side ends the connection.
+///
+/// # Errors
+/// What the connect or the socket reports.
+async fn exchange_frames(
     shared: &Shared, link: LinkId, address: SocketAddr, mut frames: mpsc::Receiver<ToLeaf>,
 ) -> io::Result<()> {
     let stream = TcpStream::connect(address).await?;
@@ -71,19 +77,19 @@
                 }
                 let _ = shared.inputs.send(Input::LinkWrote { link }).await;
             }
-            heard = super::message(&mut connection, &mut begun, WHOLE_FRAME) => {
-                let frame = match heard {
+            received = super::message(&mut connection, &mut begun, FRAME_TIMEOUT) => {
+                let frame = match received {
                     Ok(Some(Ok(frame))) => frame,
                     Ok(Some(Err(e))) => break Err(e),
                     Ok(None) => break Ok(()),
-                    // Readiness was out of date: nothing has begun.
+                    // A spurious readiness: no frame has begun.
                     Err(_) if connection.read_buffer().is_empty() => {
                         begun = None;
                         continue;
                     }
                     Err(_) => {
-                        let held = connection.read_buffer().clone();
-                        connection.codec_mut().cut_short(&held)
+                        let received = connection.read_buffer().clone();
+                        connection.codec_mut().cut_short(&received)
                     }
                 };
                 let _ = shared.inputs.send(Input::LinkHeard { link, frame }).await;
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -1,5 +1,5 @@
-//! Sockets, timers and buffers. Everything here reports what happened as an [`Input`] and does what an
-//! [`Effect`] says; nothing is decided here.
+//! Sockets, timers and buffers: reports events to the reducer as [`Input`]s and performs the [`Effect`]s that it
+//! returns. Nothing is decided here.
 
 mod clients;
 mod clock;
@@ -30,34 +30,38 @@
 use tokio::time::{sleep, sleep_until, timeout_at, Duration, Instant};
 use tokio_util::codec::{Decoder, Framed};
 
-/// Inputs that may wait; past it the sockets are read no further until the reducer has caught up.
+/// Inputs that may be queued; past it sockets are not read until the reducer has caught up.
 const MOST_INPUTS: usize = 1024;
-/// The same for what discovery tells: a list may be large, and the next one can wait at its socket.
+/// The same for lists from discovery: one may be large, and the next can wait at its socket.
 const MOST_LISTS: usize = 2;
-/// Inputs that one turn takes at most, so that timers stay in time under a flood.
+/// The most inputs that one turn takes, so that timers are punctual under a flood.
 const MOST_BATCH: usize = 256;
-/// Commands that may wait at one connection. The reducer gives each a frame or reply at a time.
+/// Commands that may be queued at one connection. The reducer gives each one frame or reply at a time.
 const MOST_COMMANDS: usize = 4;
-/// How long the last replies have to leave, should the end come before they did.
+/// The time that the last replies have to be written when the mixer ends.
 const LAST_FLUSH: Duration = Duration::from_millis(50);
 
-/// Whom the mixer speaks to.
+/// The addresses of the services that the mixer uses.
 #[derive(Clone, Debug)]
 pub struct Addresses {
     pub discovery: SocketAddr,
+    /// Where datagrams of other mixers are received; `None` for neither receiving nor sending any.
     pub peer_listen: Option<SocketAddr>,
+    /// The other mixers, by their numbers.
     pub peers: Vec<SocketAddr>,
+    /// The one address that reaches all other mixers.
     pub peers_all: Option<SocketAddr>,
 }
 
-/// What the operator says to a running mixer.
+/// A command from the operator to a running mixer.
 pub enum Control {
+    /// End once what is open is answered.
     Terminate,
-    /// Whom to speak to from now on; none if what was read does not do.
+    /// Use these addresses from now on; `None` if the new configuration is invalid.
     Reload(Option<Addresses>),
 }
 
-/// What every connection's task holds.
+/// What the tasks of all connections share.
 #[derive(Clone)]
 struct Shared {
     clock: Clock,
@@ -65,19 +69,20 @@
     watching: Watching,
     pool: Pool,
     inputs: mpsc::Sender<Input>,
-    /// What discovery tells, which does not wait behind the rest.
+    /// Inputs from discovery, which do not wait behind the others.
     lists: mpsc::Sender<Input>,
+    /// Where each open connection of a client takes commands.
     clients: Rc<RefCell<HashMap<ClientId, mpsc::Sender<clients::Command>>>>,
-    /// Told whenever a client's connection has ended: there may be room for one more.
+    /// Notified whenever a client's connection has ended, as there may be room for one more.
     client_ended: Rc<Notify>,
     names: Rc<Names>,
     last_client: Rc<Cell<ClientId>>,
-    /// Set once no more connections are to be taken.
+    /// True once no more connections are accepted.
     stopped: Rc<latest::Sender<bool>>,
 }
 
 impl Shared {
-    /// A number for one more client.
+    /// A new client's number.
     fn client(&self) -> ClientId {
         self.last_client.set(self.last_client.get() + 1);
         self.last_client.get()
@@ -87,13 +92,16 @@
 /// Starts a front of another protocol; called once the reducer can be asked.
 pub type StartFront = Box<dyn FnOnce(QueryClient)>;
 
-/// What runs beside the native front, where it is on.
+/// What runs beside the native front, as far as the settings ask for it.
 #[derive(Default)]
 pub struct Beside {
+    /// Where usage records go.
     pub recorder: Option<Box<dyn Recorder>>,
+    /// Fronts of other protocols.
     pub fronts: Vec<StartFront>,
 }
 
+/// Performs the reducer's effects on sockets.
 struct Driver {
     shared: Shared,
     links: HashMap<LinkId, leaf::Handle>,
@@ -104,7 +112,7 @@
     exited: bool,
 }
 
-/// The socket for datagrams, who is where, and the task that listens.
+/// The socket for datagrams, the other mixers' addresses, and the task that receives.
 struct Udp {
     socket: Rc<UdpSocket>,
     book: peers::Book,
@@ -119,13 +127,18 @@
     }
 }
 
+/// Starts a watch on discovery, for changes from a version on or with the whole list first.
 fn watch(shared: &Shared, address: SocketAddr, from: Option<u64>) -> AbortHandle {
     tokio::task::spawn_local(watch::follow(shared.clone(), address, from)).abort_handle()
 }
 
-/// The next message of a connection: none at its end, or the time it was late. `begun` is when what is
-/// being read began; from then on the whole of it has to come within `most`, however many bytes come on the
-/// way. It outlives this call, which may be dropped for something more urgent.
+/// The next message of a connection; `None` at its end.
+///
+/// A message has to be whole within `most` from its first byte, however many bytes arrive on the way. `begun` is when
+/// the one that is being read began. It outlives this call, which is cancel safe.
+///
+/// # Errors
+/// [`Elapsed`] if the message was not whole in time.
 async fn message<C: Decoder>(
     connection: &mut Framed<TcpStream, C>, begun: &mut Option<Instant>, most: Duration,
 ) -> Result<Option<Result<C::Item, C::Error>>, Elapsed> {
@@ -133,7 +146,7 @@
         Some(since) => since,
         None => {
             if connection.read_buffer().is_empty() {
-                // An error shows again at the read that follows.
+                // An error recurs at the read that follows.
                 let _ = connection.get_ref().readable().await;
             }
             *begun.insert(Instant::now())
@@ -144,10 +157,13 @@
     Ok(next)
 }
 
-/// Serves on `listener` until the reducer asks for the end. Must run inside a `LocalSet`.
+/// Serves on `listener` until the reducer ends the mixer. Must run inside a `LocalSet`.
+///
+/// # Errors
+/// The socket for datagrams can't be bound.
 pub async fn serve(
     mut state: State, clock: Clock, names: Names, listener: TcpListener, addresses: Addresses,
-    mut told: mpsc::Receiver<Control>, beside: Beside,
+    mut controls: mpsc::Receiver<Control>, beside: Beside,
 ) -> io::Result<()> {
     let (inputs, mut arrived) = mpsc::channel(MOST_INPUTS);
     let (lists, mut listed) = mpsc::channel(MOST_LISTS);
@@ -173,13 +189,13 @@
     let pending_replies = beside.recorder.map(PendingReplies::new);
     let mut driver = Driver { shared, links: HashMap::new(), udp, watch, pending_replies, exited: false };
     while !driver.exited {
-        // One timer for both: to arm another for each turn costs more than what it is for.
+        // One timer for alarms and replies: arming a second one each turn is costly.
         let reply_due = driver.pending_replies.as_ref().and_then(PendingReplies::next_deadline);
         let due = state.next_due().map(|at| clock.instant(at)).into_iter().chain(reply_due).min();
         tokio::select! {
             biased;
-            Some(told) = told.recv() => {
-                let input = match told {
+            Some(control) = controls.recv() => {
+                let input = match control {
                     Control::Terminate => Input::Terminate,
                     Control::Reload(addresses) => driver.reload(addresses),
                 };
@@ -221,13 +237,14 @@
 }
 
 impl Driver {
+    /// Applies an input to the reducer and performs the effects.
     fn put(&mut self, state: &mut State, now: u64, input: Input) {
         for effect in state.apply(now, input) {
             self.perform(effect);
         }
     }
 
-    /// Datagrams go by the new addresses at once; where the list comes from is state, for the reducer.
+    /// Uses new addresses for datagrams at once. The address of discovery is part of the reducer's state.
     fn reload(&mut self, addresses: Option<Addresses>) -> Input {
         if let Some((udp, addresses)) = self.udp.as_mut().zip(addresses.as_ref()) {
             udp.task.abort();
@@ -312,7 +329,7 @@
     /// Hands a command to the task of a client's connection.
     fn command_client(&self, client: ClientId, command: clients::Command) {
         if let Some(commands) = self.shared.clients.borrow().get(&client) {
-            // Full only if a task is stuck on a client that reads nothing; that client loses its answer.
+            // Full only if the task waits for a client that does not read; that client loses its reply.
             if commands.try_send(command).is_err() {
                 tracing::debug!(client, "a client's connection is over or stuck");
             }
