--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -1,23 +1,22 @@
-//! Sockets, timers and buffers. Everything here reports what happened as an [`Input`] and does what an
-//! [`Effect`] says; nothing is decided here.
+//! Sockets, timers and buffers: reports events to the reducer as [`Input`]s and performs the [`Effect`]s that it
+//! returns. Nothing is decided here.
 
 mod clients;
 mod clock;
-mod door;
 mod leaf;
 mod ledger;
 mod peers;
 mod pool;
+mod query_client;
 mod watch;
 
 pub use clock::Clock;
-pub use door::Door;
-pub use ledger::Recorder;
+pub use ledger::{ClientReply, PendingReplies, Recorder};
+pub use query_client::QueryClient;
 
-use crate::protocol::query::{Names, Reply};
+use crate::protocol::query::Names;
 use crate::routing::{ClientId, Effect, Input, LinkId, State, Watching};
 use futures_util::StreamExt;
-use ledger::Ledger;
 use pool::Pool;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -31,34 +30,38 @@
 use tokio::time::{sleep, sleep_until, timeout_at, Duration, Instant};
 use tokio_util::codec::{Decoder, Framed};
 
-/// Inputs that may wait; past it the sockets are read no further until the reducer has caught up.
+/// Inputs that may be queued; past it sockets are not read until the reducer has caught up.
 const MOST_INPUTS: usize = 1024;
-/// The same for what discovery tells: a list may be large, and the next one can wait at its socket.
+/// The same for lists from discovery: one may be large, and the next can wait at its socket.
 const MOST_LISTS: usize = 2;
-/// Inputs that one turn takes at most, so that timers stay in time under a flood.
+/// The most inputs that one turn takes, so that timers are punctual under a flood.
 const MOST_BATCH: usize = 256;
-/// Commands that may wait at one connection. The reducer gives each a frame or reply at a time.
+/// Commands that may be queued at one connection. The reducer gives each one frame or reply at a time.
 const MOST_COMMANDS: usize = 4;
-/// How long the last replies have to leave, should the end come before they did.
+/// The time that the last replies have to be written when the mixer ends.
 const LAST_FLUSH: Duration = Duration::from_millis(50);
 
-/// Whom the mixer speaks to.
+/// The addresses of the services that the mixer uses.
 #[derive(Clone, Debug)]
 pub struct Addresses {
     pub discovery: SocketAddr,
+    /// Where datagrams of other mixers are received; `None` for neither receiving nor sending any.
     pub peer_listen: Option<SocketAddr>,
+    /// The other mixers, by their numbers.
     pub peers: Vec<SocketAddr>,
+    /// The one address that reaches all other mixers.
     pub peers_all: Option<SocketAddr>,
 }
 
-/// What the operator says to a running mixer.
+/// A command from the operator to a running mixer.
 pub enum Control {
+    /// End once what is open is answered.
     Terminate,
-    /// Whom to speak to from now on; none if what was read does not do.
+    /// Use these addresses from now on; `None` if the new configuration is invalid.
     Reload(Option<Addresses>),
 }
 
-/// What every connection's task holds.
+/// What the tasks of all connections share.
 #[derive(Clone)]
 struct Shared {
     clock: Clock,
@@ -66,19 +69,20 @@
     watching: Watching,
     pool: Pool,
     inputs: mpsc::Sender<Input>,
-    /// What discovery tells, which does not wait behind the rest.
+    /// Inputs from discovery, which do not wait behind the others.
     lists: mpsc::Sender<Input>,
+    /// Where each open connection of a client takes commands.
     clients: Rc<RefCell<HashMap<ClientId, mpsc::Sender<clients::Command>>>>,
-    /// Told whenever a client's connection has ended: there may be room for one more.
+    /// Notified whenever a client's connection has ended, as there may be room for one more.
     client_ended: Rc<Notify>,
     names: Rc<Names>,
     last_client: Rc<Cell<ClientId>>,
-    /// Set once no more connections are to be taken.
+    /// True once no more connections are accepted.
     stopped: Rc<latest::Sender<bool>>,
 }
 
 impl Shared {
-    /// A number for one more client.
+    /// A new client's number.
     fn client(&self) -> ClientId {
         self.last_client.set(self.last_client.get() + 1);
         self.last_client.get()
@@ -86,25 +90,29 @@
 }
 
 /// Starts a front of another protocol; called once the reducer can be asked.
-pub type StartFront = Box<dyn FnOnce(Door)>;
+pub type StartFront = Box<dyn FnOnce(QueryClient)>;
 
-/// What runs beside the native front, where it is on.
+/// What runs beside the native front, as far as the settings ask for it.
 #[derive(Default)]
 pub struct Beside {
+    /// Where usage records go.
     pub recorder: Option<Box<dyn Recorder>>,
+    /// Fronts of other protocols.
     pub fronts: Vec<StartFront>,
 }
 
+/// Performs the reducer's effects on sockets.
 struct Driver {
     shared: Shared,
     links: HashMap<LinkId, leaf::Handle>,
     udp: Option<Udp>,
     watch: AbortHandle,
-    ledger: Option<Ledger>,
+    /// Replies that wait for their usage records, where a usage log is kept.
+    pending_replies: Option<PendingReplies>,
     exited: bool,
 }
 
-/// The socket for datagrams, who is where, and the task that listens.
+/// The socket for datagrams, the other mixers' addresses, and the task that receives.
 struct Udp {
     socket: Rc<UdpSocket>,
     book: peers::Book,
@@ -119,13 +127,18 @@
     }
 }
 
+/// Starts a watch on discovery, for changes from a version on or with the whole list first.
 fn watch(shared: &Shared, address: SocketAddr, from: Option<u64>) -> AbortHandle {
     tokio::task::spawn_local(watch::follow(shared.clone(), address, from)).abort_handle()
 }
 
-/// The next message of a connection: none at its end, or the time it was late. `begun` is when what is
-/// being read began; from then on the whole of it has to come within `most`, however many bytes come on the
-/// way. It outlives this call, which may be dropped for something more urgent.
+/// The next message of a connection; `None` at its end.
+///
+/// A message has to be whole within `most` from its first byte, however many bytes arrive on the way. `begun` is when
+/// the one that is being read began. It outlives this call, which is cancel safe.
+///
+/// # Errors
+/// [`Elapsed`] if the message was not whole in time.
 async fn message<C: Decoder>(
     connection: &mut Framed<TcpStream, C>, begun: &mut Option<Instant>, most: Duration,
 ) -> Result<Option<Result<C::Item, C::Error>>, Elapsed> {
@@ -133,7 +146,7 @@
         Some(since) => since,
         None => {
             if connection.read_buffer().is_empty() {
-                // An error shows again at the read that follows.
+                // An error recurs at the read that follows.
                 let _ = connection.get_ref().readable().await;
             }
             *begun.insert(Instant::now())
@@ -144,10 +157,13 @@
     Ok(next)
 }
 
-/// Serves on `listener` until the reducer asks for the end. Must run inside a `LocalSet`.
+/// Serves on `listener` until the reducer ends the mixer. Must run inside a `LocalSet`.
+///
+/// # Errors
+/// The socket for datagrams can't be bound.
 pub async fn serve(
     mut state: State, clock: Clock, names: Names, listener: TcpListener, addresses: Addresses,
-    mut told: mpsc::Receiver<Control>, beside: Beside,
+    mut controls: mpsc::Receiver<Control>, beside: Beside,
 ) -> io::Result<()> {
     let (inputs, mut arrived) = mpsc::channel(MOST_INPUTS);
     let (lists, mut listed) = mpsc::channel(MOST_LISTS);
@@ -169,25 +185,25 @@
     };
     tokio::task::spawn_local(clients::listen(shared.clone(), listener, state.most_clients()));
     let watch = watch(&shared, addresses.discovery, Some(state.list_index()));
-    beside.fronts.into_iter().for_each(|start| start(Door::new(shared.clone())));
-    let ledger = beside.recorder.map(Ledger::new);
-    let mut driver = Driver { shared, links: HashMap::new(), udp, watch, ledger, exited: false };
+    beside.fronts.into_iter().for_each(|start| start(QueryClient::new(shared.clone())));
+    let pending_replies = beside.recorder.map(PendingReplies::new);
+    let mut driver = Driver { shared, links: HashMap::new(), udp, watch, pending_replies, exited: false };
     while !driver.exited {
-        // One timer for both: to arm another for each turn costs more than what it is for.
-        let held = driver.ledger.as_ref().and_then(Ledger::until);
-        let due = state.next_due().map(|at| clock.instant(at)).into_iter().chain(held).min();
+        // One timer for alarms and replies: arming a second one each turn is costly.
+        let reply_due = driver.pending_replies.as_ref().and_then(PendingReplies::next_deadline);
+        let due = state.next_due().map(|at| clock.instant(at)).into_iter().chain(reply_due).min();
         tokio::select! {
             biased;
-            Some(told) = told.recv() => {
-                let input = match told {
+            Some(control) = controls.recv() => {
+                let input = match control {
                     Control::Terminate => Input::Terminate,
                     Control::Reload(addresses) => driver.reload(addresses),
                 };
                 driver.put(&mut state, clock.now(), input);
             }
             Some(input) = listed.recv() => driver.put(&mut state, clock.now(), input),
-            () = progress(&mut driver.ledger) => {
-                driver.release();
+            () = progress(&mut driver.pending_replies) => {
+                driver.send_ready_replies();
                 continue;
             }
             Some(input) = arrived.recv() => {
@@ -205,29 +221,30 @@
             () = sleep_until(due.unwrap_or_else(|| clock.instant(0))), if due.is_some() => {}
         }
         driver.put(&mut state, clock.now(), Input::Turn);
-        driver.release();
+        driver.send_ready_replies();
     }
-    driver.close_ledger();
+    driver.close_recorder();
     sleep(LAST_FLUSH).await;
     Ok(())
 }
 
-/// Returns once a reply that waits for its record may go.
-async fn progress(ledger: &mut Option<Ledger>) {
-    match ledger {
-        Some(ledger) => ledger.progress().await,
+/// Returns once a reply that waits for its record may leave.
+async fn progress(pending_replies: &mut Option<PendingReplies>) {
+    match pending_replies {
+        Some(pending_replies) => pending_replies.progress().await,
         None => std::future::pending().await,
     }
 }
 
 impl Driver {
+    /// Applies an input to the reducer and performs the effects.
     fn put(&mut self, state: &mut State, now: u64, input: Input) {
         for effect in state.apply(now, input) {
             self.perform(effect);
         }
     }
 
-    /// Datagrams go by the new addresses at once; where the list comes from is state, for the reducer.
+    /// Uses new addresses for datagrams at once. The address of discovery is part of the reducer's state.
     fn reload(&mut self, addresses: Option<Addresses>) -> Input {
         if let Some((udp, addresses)) = self.udp.as_mut().zip(addresses.as_ref()) {
             udp.task.abort();
@@ -239,26 +256,29 @@
     fn perform(&mut self, effect: Effect) {
         match effect {
             Effect::Reply { client, reply, close } => {
-                let ready = match &mut self.ledger {
-                    Some(ledger) => ledger.hold(client, reply, close),
-                    None => Some((client, reply, close)),
+                let reply = ClientReply { client, reply, close };
+                let ready = match &mut self.pending_replies {
+                    Some(pending_replies) => pending_replies.enqueue(reply),
+                    None => Some(reply),
                 };
-                self.reply(ready);
+                if let Some(reply) = ready {
+                    self.reply(reply);
+                }
             }
             Effect::CloseClient { client, room } => {
-                if let Some(ledger) = &mut self.ledger {
-                    ledger.close_client(client);
+                if let Some(pending_replies) = &mut self.pending_replies {
+                    pending_replies.close_client(client);
                 }
-                self.tell_client(client, clients::Command::Close { room });
+                self.command_client(client, clients::Command::Close { room });
             }
             Effect::Record(usage) => {
-                if let Some(ledger) = &mut self.ledger {
-                    ledger.record(usage);
+                if let Some(pending_replies) = &mut self.pending_replies {
+                    pending_replies.record(usage);
                 }
             }
             Effect::Mark(mark) => {
-                if let Some(ledger) = &mut self.ledger {
-                    ledger.mark(mark);
+                if let Some(pending_replies) = &mut self.pending_replies {
+                    pending_replies.mark(mark);
                 }
             }
             Effect::Connect { link, address } => {
@@ -289,27 +309,27 @@
         }
     }
 
-    fn reply(&self, ready: Option<(ClientId, Reply, bool)>) {
-        if let Some((client, reply, close)) = ready {
-            self.tell_client(client, clients::Command::Reply(Box::new(reply), close));
-        }
+    fn reply(&self, ClientReply { client, reply, close }: ClientReply) {
+        self.command_client(client, clients::Command::Reply(Box::new(reply), close));
     }
 
     /// Sends the replies whose records are written, or that have waited for long enough.
-    fn release(&mut self) {
-        while let Some(ready) = self.ledger.as_mut().and_then(Ledger::release) {
-            self.reply(Some(ready));
+    fn send_ready_replies(&mut self) {
+        while let Some(reply) = self.pending_replies.as_mut().and_then(PendingReplies::pop_ready) {
+            self.reply(reply);
         }
     }
 
-    fn close_ledger(&mut self) {
-        let held = self.ledger.as_mut().map(Ledger::close).unwrap_or_default();
-        held.into_iter().for_each(|ready| self.reply(Some(ready)));
+    /// Writes the records that wait, and sends every reply that is still queued.
+    fn close_recorder(&mut self) {
+        let queued = self.pending_replies.as_mut().map(PendingReplies::close).unwrap_or_default();
+        queued.into_iter().for_each(|reply| self.reply(reply));
     }
 
-    fn tell_client(&self, client: ClientId, command: clients::Command) {
+    /// Hands a command to the task of a client's connection.
+    fn command_client(&self, client: ClientId, command: clients::Command) {
         if let Some(commands) = self.shared.clients.borrow().get(&client) {
-            // Full only if a task is stuck on a client that reads nothing; that client loses its answer.
+            // Full only if the task waits for a client that does not read; that client loses its reply.
             if commands.try_send(command).is_err() {
                 tracing::debug!(client, "a client's connection is over or stuck");
             }
