Add crates/lab, the scale rig's skeleton: settings, meter, fit and the report's form

The library states the form of a report (series of points, slopes, ratios with aims), the INI schema of its settings, processor time and resident memory of the own process without unsafe, and a least squares fit.

--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,15 @@
+//! Measurements of the mixer against the size it is planned for.
+//!
+//! [`scale`] steps one size at a time and fits a slope to what each size costs; [`report`] is what every run writes.
+//! Figures come from one machine and are called so: ratios within one run carry the argument.
+
+pub mod failure;
+pub mod fit;
+pub mod logs;
+pub mod machine;
+pub mod meter;
+pub mod report;
+pub mod scale;
+pub mod settings;
+
+pub use failure::Failure;
--- /dev/null
+++ b/crates/lab/src/scale/mod.rs
@@ -0,0 +1,3 @@
+//! `cottonhill-lab scale`: series that step one size at a time.
+
+pub mod settings;
