Play the sockets' part around the reducer and plan the series of the scale runs

Each point runs in a process of its own, one at a time, and writes one sample. Reports are written as JSON, Markdown and a plot, and two of them compared.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,9 +7,13 @@
 pub mod fit;
 pub mod logs;
 pub mod machine;
+pub mod markdown;
 pub mod meter;
+pub mod output;
+pub mod plot;
 pub mod report;
 pub mod scale;
 pub mod settings;
+pub mod units;
 
 pub use failure::Failure;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,9 +1,12 @@
 //! `cottonhill-lab`: measurements of the mixer against the size it is planned for.
 
 use clap::{Parser, Subcommand};
+use cottonhill_ini::Settings;
+use cottonhill_lab::scale;
+use cottonhill_lab::scale::point::{self, Spec};
 use cottonhill_lab::scale::settings::Scale;
-use cottonhill_lab::{logs, settings, Failure};
-use std::path::PathBuf;
+use cottonhill_lab::{logs, markdown, output, settings, Failure};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// Measures the mixer against the size it is planned for.
@@ -20,15 +23,63 @@
 #[derive(Subcommand)]
 enum Command {
     /// Run series that step one size at a time, without sockets
-    Scale,
+    Scale {
+        /// Folder for scale.json, scale.md, scale.png and machine.txt
+        #[arg(long, value_name = "FOLDER", default_value = "docs/capacity")]
+        out: PathBuf,
+        /// Print every slope beside that of an earlier report
+        #[arg(long, value_name = "REPORT")]
+        against: Option<PathBuf>,
+    },
+    /// Print every slope, ratio and cost of two reports side by side, as Markdown
+    Compare { before: PathBuf, after: PathBuf },
+    /// Measure one point in this process; how `scale` starts itself
+    #[command(hide = true)]
+    Point {
+        /// The point, as JSON
+        spec: String,
+    },
 }
 
 fn run(arguments: Arguments) -> Result<(), Failure> {
+    if let Command::Point { spec } = &arguments.command {
+        return point(spec);
+    }
     let settings = settings::read(arguments.settings.as_deref())?;
     logs::start(&settings)?;
     match arguments.command {
-        Command::Scale => Scale::read(&settings).map(drop),
+        Command::Scale { out, against } => scale(&settings, &out, against.as_deref()),
+        Command::Compare { before, after } => compare(&before, &after),
+        Command::Point { spec } => point(&spec),
+    }
+}
+
+/// One sample on standard output. No logger runs here: logging is not what is measured.
+fn point(spec: &str) -> Result<(), Failure> {
+    let spec: Spec = serde_json::from_str(spec).map_err(|e| Failure::Settings(format!("no point: {e}")))?;
+    let sample = serde_json::to_string(&point::measure(&spec)).map_err(Failure::running)?;
+    println!("{sample}");
+    Ok(())
+}
+
+fn scale(settings: &Settings, out: &Path, against: Option<&Path>) -> Result<(), Failure> {
+    let scale = Scale::read(settings)?;
+    // Read before the run: a wrong name costs seconds, not minutes.
+    let before = against.map(output::read).transpose()?;
+    let program = std::env::current_exe().map_err(Failure::running)?;
+    let report = scale::run(&program, settings, &scale);
+    output::write(&report, out)?;
+    if let Some(before) = before {
+        println!("{}", markdown::comparison(&before, &report));
     }
+    println!("{}", markdown::ratios(&report.ratios));
+    println!("{}", report.summary());
+    Ok(())
+}
+
+fn compare(before: &Path, after: &Path) -> Result<(), Failure> {
+    println!("{}", markdown::comparison(&output::read(before)?, &output::read(after)?));
+    Ok(())
 }
 
 fn main() -> ExitCode {
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -29,11 +29,19 @@
     Calls,
     /// Connections opened to leaf servers.
     Connections,
-    /// Messages and entries of discovery: bytes as JSON.
+    /// Times that the decisions were asked.
+    Turns,
+    /// Bytes of the whole list as JSON.
     ListBytes,
+    /// Processor time to frame and parse the whole list.
     ParseProcessorNs,
     /// Processor time to take a parsed list into the reducer and decide on it.
     TakeProcessorNs,
+    /// Processor time to take the same list again, with nothing changed.
+    RetakeProcessorNs,
+    /// Messages of changes that were taken.
+    ChangeMessages,
+    /// Bytes of one message as JSON.
     ChangeBytes,
     /// Processor time of one change message, parsed, taken and decided on.
     ChangeProcessorNs,
@@ -96,6 +104,16 @@
     pub points: Vec<Point>,
 }
 
+/// What a slope is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Against {
+    /// The size that the series steps.
+    Size,
+    /// What was counted at the point.
+    Measure(Measure),
+}
+
 /// A line fitted to the points of a series.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Slope {
@@ -105,6 +123,7 @@
     pub unit: String,
     pub series: String,
     pub measure: Measure,
+    pub against: Against,
     /// None where fewer than two points were measured.
     pub line: Option<Line>,
 }
--- /dev/null
+++ b/crates/lab/src/scale/point.rs
@@ -0,0 +1,236 @@
+//! One point of a series, measured in a process of its own.
+
+use super::driver::{Counts, Driver, Workload};
+use super::fleet::{Fleet, Standing};
+use super::watch::{read_whole, Whole};
+use crate::meter::{peak_resident_bytes, resident_bytes, Stopwatch};
+use crate::report::{Measure, Outcome, Values};
+use cottonhill_mixer::protocol::discovery;
+use serde::{Deserialize, Serialize};
+use std::time::{Duration, Instant};
+
+/// Of the time of a point, the share that queries before the measured ones may take.
+const WARM_SHARE: u32 = 4;
+
+/// What is measured at a point.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Work {
+    /// Processor time of queries, after `warm` ones that are not measured.
+    Queries { workload: Workload, warm: u64, queries: u64 },
+    /// Processor time and bytes of messages that change `entries` entries each.
+    Changes { entries: u64, messages: u64 },
+    /// Bytes, processor time and resident memory of the whole list.
+    List,
+    /// Resident memory of the connections that `queries` queries over `workload.shards` shards open.
+    Connections { workload: Workload, queries: u64 },
+    /// Resident memory of `workload.open` queries that wait, after `warm` ones that ended.
+    OpenQueries { workload: Workload, warm: u64 },
+}
+
+/// Everything that the process of a point has to know.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Spec {
+    pub fleet: Fleet,
+    pub seed: u64,
+    pub work: Work,
+    /// Time after which its work is cut, in milliseconds.
+    pub time_ms: u64,
+}
+
+/// What the process of a point writes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Sample {
+    pub outcome: Outcome,
+    pub note: String,
+    pub values: Values,
+}
+
+impl Sample {
+    fn measured(values: Values) -> Sample {
+        Sample { outcome: Outcome::Measured, note: String::new(), values }
+    }
+
+    /// A sample of a point that failed.
+    pub fn failed(why: impl ToString) -> Sample {
+        Sample { outcome: Outcome::Failed, note: why.to_string(), values: Values::new() }
+    }
+
+    fn cut(self, note: String) -> Sample {
+        Sample { outcome: Outcome::Cut, note, ..self }
+    }
+}
+
+/// Measures one point in this process.
+pub fn measure(spec: &Spec) -> Sample {
+    let sample = match &spec.work {
+        Work::List => list(spec),
+        Work::Queries { workload, warm, queries } => run_queries(spec, workload, *warm, *queries),
+        Work::Changes { entries, messages } => changes(spec, *entries, *messages),
+        Work::Connections { workload, queries } => connections(spec, workload, *queries),
+        Work::OpenQueries { workload, warm } => open_queries(spec, workload, *warm),
+    };
+    sample.unwrap_or_else(Sample::failed)
+}
+
+/// A mixer with its list in force, whether or not the watch would have let it in.
+fn mixer(spec: &Spec) -> Result<Driver, String> {
+    let mut driver = Driver::new(spec.fleet, spec.seed)?;
+    driver.take(read_whole(spec.fleet, 1)?.listing);
+    Ok(driver)
+}
+
+fn deadline(spec: &Spec) -> Instant {
+    Instant::now() + Duration::from_millis(spec.time_ms)
+}
+
+fn shards(spec: &Spec, workload: &Workload) -> u64 {
+    workload.shards.min(spec.fleet.shards())
+}
+
+/// Runs queries that are not measured, and leaves none open.
+fn warm_up(driver: &mut Driver, spec: &Spec, workload: &Workload, queries: u64) {
+    let until = Instant::now() + Duration::from_millis(spec.time_ms) / WARM_SHARE;
+    driver.run(workload, shards(spec, workload), queries, until);
+    driver.drain(until + Duration::from_millis(spec.time_ms) / WARM_SHARE);
+}
+
+fn list(spec: &Spec) -> Result<Sample, String> {
+    let mut driver = Driver::new(spec.fleet, spec.seed)?;
+    let before = resident_bytes();
+    let Whole { listing, bytes, processor_ns, refused } = read_whole(spec.fleet, 1)?;
+    let watch = Stopwatch::start();
+    driver.take(listing);
+    let take_ns = watch.nanos();
+    let held = resident_bytes().saturating_sub(before);
+    let again = read_whole(spec.fleet, 2)?.listing;
+    let watch = Stopwatch::start();
+    driver.take(again);
+    let values = Values::from([
+        (Measure::ListBytes, bytes as f64),
+        (Measure::ParseProcessorNs, processor_ns),
+        (Measure::TakeProcessorNs, take_ns),
+        (Measure::RetakeProcessorNs, watch.nanos()),
+        (Measure::ResidentBytes, held as f64),
+        (Measure::PeakResidentBytes, peak_resident_bytes() as f64),
+    ]);
+    let sample = Sample::measured(values);
+    Ok(match refused {
+        Some(why) => {
+            Sample { outcome: Outcome::Refused, note: format!("refused: over the bound ({why})"), ..sample }
+        }
+        None => sample,
+    })
+}
+
+fn run_queries(spec: &Spec, workload: &Workload, warm: u64, queries: u64) -> Result<Sample, String> {
+    let mut driver = mixer(spec)?;
+    driver.connect_clients(workload);
+    warm_up(&mut driver, spec, workload, warm);
+    let before = driver.counts();
+    let watch = Stopwatch::start();
+    let all = driver.run(workload, shards(spec, workload), queries, deadline(spec));
+    let nanos = watch.nanos();
+    let measured = since(before, driver.counts());
+    let done = measured.ended();
+    if done == 0 {
+        return Ok(Sample::measured(counted(measured)).cut("cut before the first query ended".into()));
+    }
+    let mut values = counted(measured);
+    values.insert(Measure::QueryProcessorNs, nanos / done as f64);
+    values.insert(Measure::PartProcessorNs, nanos / (done * workload.parts) as f64);
+    let sample = Sample::measured(values);
+    Ok(if all && measured.unanswered() == 0 {
+        sample
+    } else {
+        sample.cut(format!("cut after {done} queries"))
+    })
+}
+
+/// What came to pass after `before`.
+fn since(before: Counts, after: Counts) -> Counts {
+    Counts {
+        asked: after.asked - before.asked,
+        answered: after.answered - before.answered,
+        refused: after.refused - before.refused,
+        twice: after.twice,
+        attempts: after.attempts - before.attempts,
+        calls: after.calls - before.calls,
+        connections: after.connections - before.connections,
+        turns: after.turns - before.turns,
+    }
+}
+
+fn counted(counts: Counts) -> Values {
+    Values::from([
+        (Measure::QueriesAnswered, counts.answered as f64),
+        (Measure::QueriesRefused, counts.refused as f64),
+        (Measure::QueriesUnanswered, counts.unanswered() as f64),
+        (Measure::RepliesTwice, counts.twice as f64),
+        (Measure::Attempts, counts.attempts as f64),
+        (Measure::Calls, counts.calls as f64),
+        (Measure::Connections, counts.connections as f64),
+        (Measure::Turns, counts.turns as f64),
+    ])
+}
+
+fn changes(spec: &Spec, entries: u64, messages: u64) -> Result<Sample, String> {
+    let mut driver = mixer(spec)?;
+    let until = deadline(spec);
+    let (mut nanos, mut bytes, mut done) = (0.0, 0, 0);
+    while done < messages && Instant::now() < until {
+        // Each pair of messages takes the same leaf servers out and brings them back.
+        let standing = if done % 2 == 0 { Standing::Draining } else { Standing::Up };
+        let text = spec.fleet.change(done + 2, done / 2 * entries, entries, standing);
+        bytes += text.len();
+        let watch = Stopwatch::start();
+        driver.take(discovery::read(text.as_bytes())?.ok_or("an empty change")?);
+        nanos += watch.nanos();
+        done += 1;
+    }
+    if driver.list_version() != done + 1 {
+        return Err(format!("version {} in force after {done} changes", driver.list_version()));
+    }
+    let values = Values::from([
+        (Measure::ChangeMessages, done as f64),
+        (Measure::ChangeBytes, bytes as f64 / done as f64),
+        (Measure::ChangeProcessorNs, nanos / done as f64),
+        (Measure::ChangedEntryProcessorNs, nanos / (done * entries) as f64),
+    ]);
+    let sample = Sample::measured(values);
+    Ok(if done == messages { sample } else { sample.cut(format!("cut after {done} messages")) })
+}
+
+fn connections(spec: &Spec, workload: &Workload, queries: u64) -> Result<Sample, String> {
+    let mut driver = mixer(spec)?;
+    driver.connect_clients(workload);
+    let before = resident_bytes();
+    let all = driver.run(workload, shards(spec, workload), queries, deadline(spec));
+    driver.drain(deadline(spec));
+    let mut values = counted(driver.counts());
+    values.insert(Measure::ResidentBytes, resident_bytes().saturating_sub(before) as f64);
+    let sample = Sample::measured(values);
+    let ended = driver.counts().ended();
+    Ok(if all { sample } else { sample.cut(format!("cut after {ended} queries")) })
+}
+
+fn open_queries(spec: &Spec, workload: &Workload, warm: u64) -> Result<Sample, String> {
+    let mut driver = mixer(spec)?;
+    // The connections stand before the queries that are measured, and few queries open them.
+    let few = Workload { open: workload.open.min(8), ..*workload };
+    driver.connect_clients(&few);
+    warm_up(&mut driver, spec, &few, warm);
+    driver.connect_clients(workload);
+    let before = (driver.counts(), resident_bytes());
+    driver.open_all(workload, shards(spec, workload));
+    let opened = since(before.0, driver.counts());
+    let mut values = counted(opened);
+    values.insert(Measure::ResidentBytes, resident_bytes().saturating_sub(before.1) as f64);
+    let sample = Sample::measured(values);
+    let unanswered = opened.unanswered();
+    Ok(if unanswered == workload.open {
+        sample
+    } else {
+        sample.cut(format!("{unanswered} queries stayed open"))
+    })
+}
--- a/crates/lab/src/scale/settings.rs
+++ b/crates/lab/src/scale/settings.rs
@@ -27,6 +27,12 @@
             "Leaf servers that are stepped, smallest first.",
         ),
         key("parts", Kind::Text, "12, 69", "Parts of a query that are stepped, smallest first."),
+        key(
+            "part_steps",
+            Kind::Text,
+            "1, 12, 35, 69",
+            "Parts of the series that steps them alone, smallest first.",
+        ),
         key("open", Kind::Text, "8, 32, 128, 512", "Queries open at once that are stepped, smallest first."),
         key(
             "links",
@@ -69,6 +75,7 @@
     pub seed: u64,
     pub servers: Vec<u64>,
     pub parts: Vec<u64>,
+    pub part_steps: Vec<u64>,
     pub open: Vec<u64>,
     pub links: Vec<u64>,
     pub copies: u64,
@@ -86,6 +93,8 @@
 
 /// The largest size that a list of sizes may hold.
 const MOST: u64 = 1_000_000;
+/// Shards that an entry of discovery's list can name.
+const MOST_SHARDS: u64 = 1 << 16;
 
 impl Scale {
     /// # Errors
@@ -98,10 +107,11 @@
             let text = values.text(key).unwrap_or_default();
             rising(text).map_err(|why| Failure::settings(settings.problem(SCALE.name, "", key, why)))
         };
-        Ok(Scale {
+        let scale = Scale {
             seed: count("seed"),
             servers: sizes("servers")?,
             parts: sizes("parts")?,
+            part_steps: sizes("part_steps")?,
             open: sizes("open")?,
             links: sizes("links")?,
             copies: count("copies"),
@@ -115,8 +125,44 @@
             change_entries: count("change_entries"),
             point_time: time("point_time"),
             point_limit: time("point_limit"),
-        })
+        };
+        let wrong = |key, why: &str| Err(Failure::settings(settings.problem(SCALE.name, "", key, why)));
+        let most_parts = scale.widest().max(last(&scale.part_steps));
+        if scale.smallest().min(scale.base_servers) / scale.copies < most_parts {
+            let why = format!("the smallest fleet has fewer shards than a query of {most_parts} parts needs");
+            return wrong("servers", &why);
+        }
+        if scale.largest().div_ceil(scale.copies) > MOST_SHARDS {
+            return wrong("servers", "the largest fleet has more than 65536 shards");
+        }
+        Ok(scale)
+    }
+
+    /// The smallest and the largest fleet that are stepped, in leaf servers.
+    pub fn smallest(&self) -> u64 {
+        first(&self.servers)
+    }
+
+    pub fn largest(&self) -> u64 {
+        last(&self.servers)
     }
+
+    /// The fewest and the most parts that the series by servers have.
+    pub fn narrowest(&self) -> u64 {
+        first(&self.parts)
+    }
+
+    pub fn widest(&self) -> u64 {
+        last(&self.parts)
+    }
+}
+
+fn first(sizes: &[u64]) -> u64 {
+    sizes.first().copied().unwrap_or(1)
+}
+
+fn last(sizes: &[u64]) -> u64 {
+    sizes.last().copied().unwrap_or(1)
 }
 
 /// A list of whole numbers, each larger than the one before.
