--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo prove-ledger bench-ledger prove-opensearch sites
+.PHONY: build test lint run demo prove-ledger bench-ledger prove-opensearch scale sites
 
 build:
 	cargo build --release --locked
@@ -32,6 +32,11 @@
 prove-opensearch: build
 	exec target/release/cottonhill-prove-opensearch $(ARGS)
 
+# Cost against size, on the reducer without sockets: docs/capacity/. ARGS as in `--against docs/capacity/before.json`.
+scale:
+	cargo build --release --locked --package cottonhill-lab
+	exec target/release/cottonhill-lab --settings lab/scale.ini scale $(ARGS)
+
 # What the bench wants beside a site file, for a play of the project's own deployments; git ignores it.
 GIVEN ?= ../given
 BESIDE = real.json wire.json unlock.txt
