--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -16,6 +16,7 @@
     QueryProcessorNs,
     /// The same divided by the parts of a query.
     PartProcessorNs,
+    /// Queries that ended in an answer.
     QueriesAnswered,
     /// Queries that ended in a refusal or a failure.
     QueriesRefused,
--- a/crates/lab/src/scale/driver.rs
+++ b/crates/lab/src/scale/driver.rs
@@ -23,6 +23,7 @@
 /// The queries of a run.
 #[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Workload {
+    /// Parts of a query.
     pub parts: u64,
     /// Queries open at once.
     pub open: u64,
@@ -35,14 +36,18 @@
 /// What has happened so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
+    /// Queries that clients put, and those that ended in an answer or in a refusal or failure.
     pub asked: u64,
     pub answered: u64,
     pub refused: u64,
     /// Replies to a client that had no query open.
     pub twice: u64,
+    /// Attempts sent to leaf servers, and the calls that they went in.
     pub attempts: u64,
     pub calls: u64,
+    /// Connections opened to leaf servers.
     pub connections: u64,
+    /// Times that the decisions were asked.
     pub turns: u64,
 }
 
@@ -99,6 +104,7 @@
         })
     }
 
+    /// What has happened so far.
     pub fn counts(&self) -> Counts {
         self.counts
     }
--- a/crates/lab/src/scale/point.rs
+++ b/crates/lab/src/scale/point.rs
@@ -32,6 +32,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Spec {
     pub fleet: Fleet,
+    /// Seed of the mixer's decisions.
     pub seed: u64,
     pub work: Work,
     /// Time after which its work is cut, in milliseconds.
@@ -42,6 +43,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Sample {
     pub outcome: Outcome,
+    /// Why it was cut, refused or failed; empty for one that was measured.
     pub note: String,
     pub values: Values,
 }
--- a/crates/lab/src/scale/settings.rs
+++ b/crates/lab/src/scale/settings.rs
@@ -72,21 +72,29 @@
 /// The values of `[scale]`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Scale {
+    /// Seed of the mixer's decisions.
     pub seed: u64,
+    /// Leaf servers, parts, open queries and connections that are stepped, smallest first.
     pub servers: Vec<u64>,
     pub parts: Vec<u64>,
     pub part_steps: Vec<u64>,
     pub open: Vec<u64>,
     pub links: Vec<u64>,
+    /// Leaf servers that hold the same shard.
     pub copies: u64,
     pub zones: u64,
+    /// What holds where another size is stepped.
     pub base_servers: u64,
     pub base_open: u64,
+    /// How long a leaf server takes for a part, in the run's own time.
     pub answer: Duration,
+    /// The most queries of a point, and of those before them that are not measured.
     pub queries: u64,
     pub warm_queries: u64,
+    /// The most messages of changes of a point, and the entries of one in the series of larger changes.
     pub change_messages: u64,
     pub change_entries: u64,
+    /// After so long the work of a point is cut, and its process ended.
     pub point_time: Duration,
     pub point_limit: Duration,
 }
@@ -135,6 +143,9 @@
         if scale.largest().div_ceil(scale.copies) > MOST_SHARDS {
             return wrong("servers", "the largest fleet has more than 65536 shards");
         }
+        if last(&scale.links) > scale.base_servers {
+            return wrong("links", "more connections than base_servers has leaf servers");
+        }
         Ok(scale)
     }
 
--- /dev/null
+++ b/crates/lab/tests/reports.rs
@@ -0,0 +1,157 @@
+//! Fits, figures and the comparison of two reports, on known data.
+
+use cottonhill_lab::fit::{line, Line};
+use cottonhill_lab::machine::Machine;
+use cottonhill_lab::markdown::{comparison, page};
+use cottonhill_lab::report::{
+    Against, Measure, Outcome, Point, Ratio, Report, Scope, Series, Slope, Values, FORMAT,
+};
+use cottonhill_lab::scale::findings;
+use cottonhill_lab::scale::settings::Scale;
+use cottonhill_lab::units::{digits, grouped, shown, Unit};
+use cottonhill_lab::{output, Failure};
+
+fn scale() -> Scale {
+    Scale::read(&cottonhill_ini::Settings::defaults()).expect("the defaults do")
+}
+
+fn point(x: f64, outcome: Outcome, values: Values) -> Point {
+    Point { x, outcome, note: format!("{outcome:?}"), values, wall_seconds: 0.1 }
+}
+
+fn list_series(points: Vec<Point>) -> Series {
+    Series {
+        name: "whole-list-by-servers".into(),
+        title: "Whole list".into(),
+        scope: Scope::InProcess,
+        size: "leaf servers".into(),
+        points,
+    }
+}
+
+fn a_report(slope: f64) -> Report {
+    let line = Line { slope, intercept: 1_000.0, residual: 0.02, points: 3 };
+    let values = Values::from([(Measure::TakeProcessorNs, slope * 1e6), (Measure::ListBytes, 4e6)]);
+    Report {
+        format: FORMAT,
+        machine: Machine { cores: 8, commit: "abc".into(), ..Machine::default() },
+        settings: Default::default(),
+        wall_seconds: 61.0,
+        series: vec![list_series(vec![
+            point(30_000.0, Outcome::Measured, values.clone()),
+            point(110_000.0, Outcome::Refused, values),
+        ])],
+        slopes: vec![Slope {
+            name: "processor time to take an entry".into(),
+            unit: "ns an entry".into(),
+            series: "whole-list-by-servers".into(),
+            measure: Measure::TakeProcessorNs,
+            against: Against::Size,
+            line: Some(line),
+        }],
+        ratios: vec![
+            Ratio { name: "one changed entry".into(), value: Some(slope / 10.0), aim: Some(3.0) },
+            Ratio { name: "a part".into(), value: None, aim: Some(1.5) },
+            Ratio { name: "explains".into(), value: Some(9.0), aim: None },
+        ],
+    }
+}
+
+#[test]
+fn a_line_through_points_on_it_is_found_exactly() {
+    let points: Vec<(f64, f64)> = (1..6).map(|x| (f64::from(x), 7.0 + 2.5 * f64::from(x))).collect();
+    let Line { slope, intercept, residual, points } = line(&points).expect("a line");
+    assert!((slope - 2.5).abs() < 1e-12 && (intercept - 7.0).abs() < 1e-12 && residual < 1e-12);
+    assert_eq!(points, 5);
+}
+
+#[test]
+fn what_a_line_misses_is_its_residual() {
+    // Least squares by hand: slope 1, intercept 0, misses of 1, 1, 1 and 1 around a mean of 2.5.
+    let fitted = line(&[(1.0, 2.0), (2.0, 1.0), (3.0, 2.0), (4.0, 5.0)]).expect("a line");
+    assert!((fitted.slope - 1.0).abs() < 1e-12 && fitted.intercept.abs() < 1e-12, "{fitted:?}");
+    assert!((fitted.residual - 1.0 / 2.5).abs() < 1e-12, "{fitted:?}");
+}
+
+#[test]
+fn there_is_no_line_through_less_than_two_sizes() {
+    assert_eq!(line(&[]), None);
+    assert_eq!(line(&[(1.0, 2.0)]), None);
+    assert_eq!(line(&[(1.0, 2.0), (1.0, 3.0)]), None);
+    assert_eq!(line(&[(1.0, 2.0), (2.0, f64::NAN)]), None);
+    assert!(line(&[(1.0, 0.0), (2.0, 0.0)]).is_some_and(|line| line.residual == 0.0 && line.slope == 0.0));
+}
+
+#[test]
+fn a_refused_size_is_shown_and_enters_no_fit() {
+    let values = |x: f64| Values::from([(Measure::ResidentBytes, 1_000.0 * x)]);
+    let series = [list_series(vec![
+        point(300.0, Outcome::Measured, values(300.0)),
+        point(3_000.0, Outcome::Cut, values(3_000.0)),
+        point(30_000.0, Outcome::Failed, Values::new()),
+        point(110_000.0, Outcome::Refused, values(1.0)),
+    ])];
+    let slopes = findings::slopes(&scale(), &series);
+    let memory = slopes.iter().find(|slope| slope.name == "resident memory an entry").expect("the slope");
+    let fitted = memory.line.expect("a line");
+    assert_eq!(fitted.points, 2);
+    assert!((fitted.slope - 1_000.0).abs() < 1e-6, "{fitted:?}");
+    let report = Report { series: series.to_vec(), slopes, ..a_report(1.0) };
+    let page = page(&report);
+    assert!(page.contains("110,000") && page.contains("Refused"), "{page}");
+    let summary = report.summary();
+    assert_eq!((summary.cut, summary.refused, summary.failed), (1, 1, 1));
+}
+
+#[test]
+fn an_aim_without_a_value_is_not_reached() {
+    let summary = a_report(10.0).summary();
+    assert_eq!((summary.aims, summary.reached), (2, 1));
+    assert_eq!(
+        summary.to_string(),
+        "SCALE series 1, points 2, cut 0, refused 1, failed 0, aims 1 of 2 reached"
+    );
+    let missing = findings::ratios(&scale(), &[]);
+    assert_eq!(missing.iter().filter_map(Ratio::reached).collect::<Vec<_>>(), [false, false, false]);
+}
+
+#[test]
+fn two_reports_stand_side_by_side() {
+    let text = comparison(&a_report(100.0), &a_report(20.0));
+    let row = |name: &str| text.lines().find(|line| line.contains(name)).unwrap_or_default().to_string();
+    let cells = |name: &str| row(name).split('|').map(|cell| cell.trim().to_string()).collect::<Vec<_>>();
+    assert_eq!(
+        cells("processor time to take an entry"),
+        ["", "processor time to take an entry", "ns an entry", "100", "20.0", "0.200", ""]
+    );
+    assert_eq!(cells("one changed entry"), ["", "one changed entry", "3.00", "10.0", "2.00", ""]);
+    assert!(text.contains("100 ms") && text.contains("20.0 ms"), "{text}");
+}
+
+#[test]
+fn a_report_comes_back_as_it_was_written() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let report = a_report(3.0);
+    output::write(&report, folder.path()).expect("written");
+    assert_eq!(output::read(&folder.path().join("scale.json")).expect("a report"), report);
+    let missing = output::read(&folder.path().join("other.json")).expect_err("no such file");
+    assert!(matches!(&missing, Failure::Settings(why) if why.contains("other.json")), "{missing}");
+}
+
+#[test]
+fn figures_have_three_digits_and_a_unit() {
+    assert_eq!(shown(87_960.0, Unit::Nanoseconds), "88.0 us");
+    assert_eq!(shown(312_400_000.0, Unit::Nanoseconds), "312 ms");
+    assert_eq!(shown(14_969_756.0, Unit::Bytes), "15.0 MB");
+    assert_eq!(shown(110_000.0, Unit::Count), "110,000");
+    assert_eq!(shown(0.0, Unit::Bytes), "0 B");
+    assert_eq!(shown(999.96, Unit::Nanoseconds), "1,000 ns");
+    assert_eq!(
+        (digits(0.0123), digits(-4.567), digits(99.96)),
+        ("0.012".into(), "-4.57".into(), "100".into())
+    );
+    assert_eq!(
+        (grouped(-1_234_567.0), grouped(12.0), grouped(-0.2)),
+        ("-1,234,567".into(), "12".into(), "0".into())
+    );
+}
--- /dev/null
+++ b/crates/lab/tests/scale.rs
@@ -0,0 +1,300 @@
+//! The scale runs at small sizes: verdicts on counts and on ratios of operations, never on times.
+
+use cottonhill_ini::Settings;
+use cottonhill_lab::report::{Measure, Outcome, Point, Report, Values};
+use cottonhill_lab::scale::driver::{Driver, Workload};
+use cottonhill_lab::scale::fleet::{Fleet, Standing};
+use cottonhill_lab::scale::point::{measure, Spec, Work};
+use cottonhill_lab::scale::settings::Scale;
+use cottonhill_lab::scale::{child, watch};
+use cottonhill_lab::settings::SCHEMA;
+use cottonhill_lab::{machine, output, Failure};
+use cottonhill_mixer::protocol::discovery::{self, MOST_OBJECT};
+use std::path::Path;
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+
+const LAB: &str = env!("CARGO_BIN_EXE_cottonhill-lab");
+const SMALL: &str = "\
+[log]
+level = warn
+[scale]
+servers = 60, 240
+parts = 4, 12
+part_steps = 1, 4, 12
+open = 2, 8
+links = 30, 60
+base_servers = 60
+base_open = 4
+queries = 60
+warm_queries = 10
+change_messages = 6
+change_entries = 5
+point_time = 20s
+";
+const SERIES: [&str; 13] = [
+    "whole-list-by-servers",
+    "change-of-one-entry-by-servers",
+    "change-of-many-entries-by-servers",
+    "change-of-a-zone-by-servers",
+    "change-by-entries",
+    "query-of-4-parts-by-servers",
+    "query-of-12-parts-by-servers",
+    "query-of-12-parts-by-servers-same-shards",
+    "query-by-parts",
+    "query-of-4-parts-by-open-queries",
+    "query-of-12-parts-by-open-queries",
+    "memory-by-connections",
+    OPEN_QUERIES,
+];
+/// The one series whose queries are left open.
+const OPEN_QUERIES: &str = "memory-by-open-queries";
+
+fn lab(settings: &str, arguments: &[&str]) -> (tempfile::TempDir, Output) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("scale.ini");
+    std::fs::write(&file, settings).expect("settings written");
+    let out = folder.path().join("out");
+    let mut command = Command::new(LAB);
+    command.arg("--settings").arg(&file).args(arguments);
+    if arguments.first() == Some(&"scale") {
+        command.arg("--out").arg(&out);
+    }
+    let output = command.output().expect("the lab runs");
+    (folder, output)
+}
+
+fn report(folder: &Path) -> Report {
+    output::read(&folder.join("out/scale.json")).expect("a report")
+}
+
+fn value(point: &Point, measure: Measure) -> f64 {
+    *point.values.get(&measure).unwrap_or_else(|| panic!("{measure:?} at {}", point.x))
+}
+
+fn fleet(servers: u64) -> Fleet {
+    Fleet { servers, copies: 3, zones: 15 }
+}
+
+fn workload(parts: u64, open: u64) -> Workload {
+    Workload { parts, open, answer_ns: 60_000_000, shards: u64::MAX }
+}
+
+fn spec(servers: u64, work: Work) -> Spec {
+    Spec { fleet: fleet(servers), seed: 7, work, time_ms: 20_000 }
+}
+
+fn counts(values: &Values) -> Vec<(Measure, f64)> {
+    use cottonhill_lab::units::Unit;
+    let counted = values.iter().filter(|(measure, _)| measure.unit() == Unit::Count);
+    counted.map(|(measure, value)| (*measure, *value)).collect()
+}
+
+#[test]
+fn a_run_has_every_series_and_answers_every_query_once() {
+    let (folder, output) = lab(SMALL, &["scale"]);
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{errors}");
+    let report = report(folder.path());
+    let names: Vec<&str> = report.series.iter().map(|series| series.name.as_str()).collect();
+    assert_eq!(names, SERIES);
+    for series in &report.series {
+        assert!(series.points.len() >= 2, "{}", series.name);
+        for point in &series.points {
+            let at = format!("{} at {}: {}", series.name, point.x, point.note);
+            assert_eq!(point.outcome, Outcome::Measured, "{at}");
+            if !point.values.contains_key(&Measure::QueriesAnswered) {
+                continue;
+            }
+            assert_eq!(value(point, Measure::RepliesTwice), 0.0, "{at}");
+            assert_eq!(value(point, Measure::QueriesRefused), 0.0, "{at}");
+            if series.name == OPEN_QUERIES {
+                assert_eq!(value(point, Measure::QueriesUnanswered), point.x, "{at}");
+            } else {
+                assert_eq!(value(point, Measure::QueriesUnanswered), 0.0, "{at}");
+            }
+            if series.name.starts_with("query") {
+                assert_eq!(value(point, Measure::QueriesAnswered), 60.0, "{at}");
+            }
+        }
+    }
+    assert!(report.slopes.iter().all(|slope| slope.line.is_some()), "{:?}", report.slopes);
+    assert!(report.ratios.iter().all(|ratio| ratio.value.is_some()), "{:?}", report.ratios);
+    let aims: Vec<f64> = report.ratios.iter().filter_map(|ratio| ratio.aim).collect();
+    assert_eq!(aims, [1.5, 1.5, 3.0]);
+    let written = String::from_utf8_lossy(&output.stdout);
+    let last = written.lines().last().unwrap_or_default();
+    assert_eq!(last, report.summary().to_string());
+    assert!(last.starts_with("SCALE series 13, points 29, cut 0, refused 0, failed 0, aims "), "{last}");
+    for file in ["scale.json", "scale.md", "scale.png", "machine.txt"] {
+        let length = std::fs::metadata(folder.path().join("out").join(file)).expect(file).len();
+        assert!(length > 100, "{file}: {length} bytes");
+    }
+    let page = std::fs::read_to_string(folder.path().join("out/scale.md")).expect("the page");
+    for shown in names.into_iter().chain(["in process, without sockets", "resident memory an entry"]) {
+        assert!(page.contains(shown), "{shown} is not on the page");
+    }
+    assert!(report.ratios.iter().all(|ratio| page.contains(&ratio.name)), "{page}");
+}
+
+#[test]
+fn the_same_seed_gives_the_same_counts() {
+    let work = Work::Queries { workload: workload(12, 8), warm: 20, queries: 200 };
+    let first = measure(&spec(300, work.clone()));
+    let second = measure(&spec(300, work));
+    assert_eq!(first.outcome, Outcome::Measured, "{}", first.note);
+    assert_eq!(counts(&first.values), counts(&second.values));
+}
+
+#[test]
+fn a_query_costs_the_same_operations_in_a_fleet_ten_times_as_large() {
+    let few_shards = Workload { shards: 100, ..workload(12, 8) };
+    let work = Work::Queries { workload: few_shards, warm: 200, queries: 200 };
+    let sample = |servers| measure(&spec(servers, work.clone())).values;
+    let (small, large) = (sample(300), sample(3_000));
+    for measure in [Measure::Attempts, Measure::Calls, Measure::Turns] {
+        let ratio = large[&measure] / small[&measure];
+        assert!((0.95..=1.05).contains(&ratio), "{measure:?}: {} and {}", small[&measure], large[&measure]);
+    }
+    assert!(large[&Measure::Attempts] <= 1.05 * 12.0 * 200.0, "{}", large[&Measure::Attempts]);
+}
+
+#[test]
+fn the_bytes_of_a_change_do_not_depend_on_the_size_of_the_fleet() {
+    let bytes = |servers, entries| {
+        let sample = measure(&spec(servers, Work::Changes { entries, messages: 4 }));
+        assert_eq!(sample.outcome, Outcome::Measured, "{}", sample.note);
+        sample.values[&Measure::ChangeBytes]
+    };
+    assert_eq!(bytes(300, 1), bytes(6_000, 1));
+    assert_eq!(bytes(300, 50), bytes(6_000, 50));
+    let (one, fifty) = (bytes(300, 1), bytes(300, 50));
+    assert!(fifty / 50.0 < one, "{one} bytes for one, {fifty} for fifty");
+}
+
+#[test]
+fn the_list_that_a_fleet_writes_is_what_the_watch_reads() {
+    let whole = watch::read_whole(fleet(1_000), 9).expect("a list");
+    assert_eq!((whole.refused, whole.listing.index, whole.listing.snapshot), (None, 9, true));
+    let pieces: String = fleet(1_000).whole_list(9).collect();
+    assert_eq!(pieces.len(), whole.bytes);
+    assert_eq!(discovery::read(pieces.as_bytes()), Ok(Some(whole.listing.clone())));
+    let groups: Vec<u16> = whole.listing.endpoints.iter().map(|entry| entry.group).collect();
+    assert_eq!(groups, (0..1_000).map(|number| number / 3).collect::<Vec<u16>>());
+    let change = discovery::read(fleet(1_000).change(10, 998, 4, Standing::Draining).as_bytes());
+    let change = change.expect("a change").expect("one that says something");
+    let names: Vec<&str> = change.endpoints.iter().map(|entry| entry.name.as_str()).collect();
+    assert_eq!(names, ["leaf-000003e6", "leaf-000003e7", "leaf-00000000", "leaf-00000001"]);
+}
+
+#[test]
+fn a_list_over_the_watchs_bound_is_reported_as_refused_with_its_figures() {
+    const LEAST_ENTRY: u64 = 120;
+    let servers = MOST_OBJECT as u64 / LEAST_ENTRY + 1;
+    let fleet = Fleet { servers, copies: 64, zones: 15 };
+    let sample = measure(&Spec { fleet, seed: 7, work: Work::List, time_ms: 60_000 });
+    assert_eq!(sample.outcome, Outcome::Refused, "{}", sample.note);
+    assert!(sample.note.starts_with("refused: over the bound"), "{}", sample.note);
+    assert!(sample.values[&Measure::ListBytes] > MOST_OBJECT as f64);
+}
+
+#[test]
+fn a_point_past_its_time_is_cut_and_says_so() {
+    let work = Work::Queries { workload: workload(12, 8), warm: 0, queries: 1_000_000 };
+    let sample = measure(&Spec { time_ms: 1_000, ..spec(300, work) });
+    assert_eq!(sample.outcome, Outcome::Cut);
+    let done = sample.values[&Measure::QueriesAnswered];
+    assert!(done > 0.0 && done < 1e6);
+    assert_eq!(sample.note, format!("cut after {done} queries"));
+}
+
+#[test]
+fn a_process_that_outlasts_its_limit_or_fails_is_a_point_that_failed() {
+    let work = Work::Queries { workload: workload(12, 8), warm: 0, queries: 1_000_000 };
+    let endless = Spec { time_ms: 60_000, ..spec(300, work) };
+    let began = Instant::now();
+    let sample = child::measure(Path::new(LAB), &endless, Duration::from_millis(200));
+    assert_eq!(sample.outcome, Outcome::Failed);
+    assert_eq!(sample.note, "ended after its limit of 0.2 s");
+    assert!(began.elapsed() < Duration::from_secs(30));
+    let none = child::measure(Path::new("/nowhere/cottonhill-lab"), &endless, Duration::from_secs(1));
+    assert_eq!(none.outcome, Outcome::Failed);
+    let narrow = spec(30, Work::Changes { entries: 1, messages: 1 });
+    let sample = child::measure(Path::new(LAB), &narrow, Duration::from_secs(20));
+    assert_eq!((sample.outcome, sample.note.as_str()), (Outcome::Measured, ""));
+}
+
+#[test]
+fn queries_that_are_opened_stay_open_and_are_answered_once_when_time_goes_on() {
+    let load = workload(12, 40);
+    let mut driver = Driver::new(fleet(300), 7).expect("a mixer");
+    driver.take(watch::read_whole(fleet(300), 1).expect("a list").listing);
+    driver.connect_clients(&load);
+    driver.open_all(&load, 100);
+    assert_eq!((driver.counts().unanswered(), driver.counts().attempts), (40, 480));
+    driver.drain(Instant::now() + Duration::from_secs(20));
+    let counts = driver.counts();
+    assert_eq!((counts.answered, counts.refused, counts.twice, counts.unanswered()), (40, 0, 0, 0));
+}
+
+fn refused(settings: &str) -> String {
+    let read = Settings::read(&SCHEMA, "scale.ini", settings).map_err(Failure::settings);
+    let failure = read.and_then(|settings| Scale::read(&settings)).expect_err("settings that do not do");
+    assert_eq!(failure.code(), 3);
+    failure.to_string()
+}
+
+#[test]
+fn bad_settings_are_named_with_their_line_and_the_nearest_key() {
+    let cases = [
+        ("[scale]\nservres = 300\n", "scale.ini:2: [scale] has no key 'servres'; the nearest is 'servers'"),
+        ("[scal]\nservers = 300\n", "scale.ini:1: there is no section [scal]; the nearest is 'scale'"),
+        (
+            "[scale]\n\nservers = 300, 200\n",
+            "scale.ini:3: [scale] servers: has to be whole numbers from 1 to 1000000",
+        ),
+        ("[scale]\nopen = 8, many\n", "scale.ini:2: [scale] open: has to be whole numbers"),
+        ("[scale]\nparts = \n", "scale.ini:2: [scale] parts: has to be whole numbers"),
+        ("[scale]\ncopies = 0\n", "scale.ini:2: [scale] copies = 0: has to be a whole number from 1 to 64"),
+        ("[scale]\npoint_time = 10\n", "scale.ini:2: [scale] point_time = 10: "),
+        ("[scale]\nservers = 30, 300\n", "scale.ini:2: [scale] servers: the smallest fleet has fewer shards"),
+        (
+            "[scale]\nservers = 300, 200000\n",
+            "scale.ini:2: [scale] servers: the largest fleet has more than 65536",
+        ),
+        ("[scale]\nlinks = 300, 4000\n", "scale.ini:2: [scale] links: more connections than base_servers"),
+        ("[log]\nformat = jsn\n", "scale.ini:2: [log] format = jsn: the nearest is 'json'"),
+    ];
+    for (settings, wanted) in cases {
+        let said = refused(settings);
+        assert!(said.starts_with(wanted), "{settings}: {said}");
+    }
+}
+
+#[test]
+fn the_command_line_reports_bad_settings_with_its_exit_code() {
+    let (_folder, output) = lab("[scale]\nqueriess = 1\n", &["scale"]);
+    assert_eq!(output.status.code(), Some(3));
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert!(said.contains("the nearest is 'queries'"), "{said}");
+}
+
+#[test]
+fn the_settings_that_are_committed_are_the_defaults() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab/scale.ini");
+    let text = std::fs::read_to_string(path).expect("the settings");
+    let committed = Settings::read(&SCHEMA, "lab/scale.ini", &text).expect("good settings");
+    let scale = |settings: &Settings| Scale::read(settings).expect("good settings");
+    assert_eq!(scale(&committed), scale(&Settings::defaults()));
+    for shown in committed.shown(&SCHEMA) {
+        assert_ne!(shown.origin, cottonhill_ini::Origin::Default, "{} is not written out", shown.key);
+    }
+}
+
+#[test]
+fn what_is_written_about_the_machine_names_no_host() {
+    let written = format!("{:?}", machine::Machine::read());
+    let host = std::fs::read_to_string("/proc/sys/kernel/hostname").unwrap_or_default();
+    assert!(host.trim().is_empty() || !written.contains(host.trim()), "{written}");
+    assert!(!written.contains('/') || written.contains("unknown"), "{written}");
+}
