--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 prove-opensearch: build
 	exec target/release/cottonhill-prove-opensearch $(ARGS)
 
-# Cost against size, on the reducer without sockets: docs/capacity/. ARGS as in `--against docs/capacity/before.json`.
+# Cost against size, on the reducer without sockets, into docs/capacity/; ARGS="--against REPORT" compares.
 scale:
 	cargo build --release --locked --package cottonhill-lab
 	exec target/release/cottonhill-lab --settings lab/scale.ini scale $(ARGS)
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -16,6 +16,9 @@
     QueryProcessorNs,
     /// The same divided by the parts of a query.
     PartProcessorNs,
+    /// Queries that ended while processor time was measured; the other counts are of the whole point.
+    QueriesMeasured,
+    QueriesAsked,
     /// Queries that ended in an answer.
     QueriesAnswered,
     /// Queries that ended in a refusal or a failure.
--- a/crates/lab/src/units.rs
+++ b/crates/lab/src/units.rs
@@ -23,8 +23,8 @@
             | ChangeProcessorNs
             | ChangedEntryProcessorNs => Unit::Nanoseconds,
             ListBytes | ChangeBytes | ResidentBytes | PeakResidentBytes => Unit::Bytes,
-            QueriesAnswered | QueriesRefused | QueriesUnanswered | RepliesTwice | Attempts | Calls
-            | Connections | Turns | ChangeMessages => Unit::Count,
+            QueriesMeasured | QueriesAsked | QueriesAnswered | QueriesRefused | QueriesUnanswered
+            | RepliesTwice | Attempts | Calls | Connections | Turns | ChangeMessages => Unit::Count,
         }
     }
 
@@ -40,6 +40,8 @@
         match self {
             QueryProcessorNs => "processor, a query",
             PartProcessorNs => "processor, a part",
+            QueriesMeasured => "measured",
+            QueriesAsked => "asked",
             QueriesAnswered => "answered",
             QueriesRefused => "refused",
             QueriesUnanswered => "unanswered",
