Hold nothing for leaf servers while the memory of open queries is measured

Cause: what was kept for leaf servers blurred the memory of open queries. Change: that series keeps nothing for them.

--- a/crates/lab/src/scale/driver.rs
+++ b/crates/lab/src/scale/driver.rs
@@ -80,6 +80,8 @@
     /// By client: it waits for a reply.
     waiting: Vec<bool>,
     answer_ns: u64,
+    /// Leaf servers answer nothing.
+    silent: bool,
     counts: Counts,
 }
 
@@ -100,6 +102,7 @@
             free: Vec::new(),
             waiting: Vec::new(),
             answer_ns: 0,
+            silent: false,
             counts: Counts::default(),
         })
     }
@@ -143,7 +146,12 @@
         self.counts.asked == last
     }
 
-    /// Asks on every free client at once, and answers nothing.
+    /// From now on leaf servers answer nothing, and nothing is held for them: what memory grows by is the mixer's.
+    pub fn silence(&mut self) {
+        self.silent = true;
+    }
+
+    /// Asks on every free client at once, with a turn for each.
     pub fn open_all(&mut self, workload: &Workload, shards: u64) {
         while !self.free.is_empty() {
             self.ask(workload, shards);
@@ -226,6 +234,9 @@
             ToLeaf::Call(parts) => {
                 self.counts.calls += 1;
                 self.counts.attempts += parts.len() as u64;
+                if self.silent {
+                    return;
+                }
                 let at = self.now + self.answer_ns;
                 let due = |part: CallPart| Due { at, link, id: part.id.to_string() };
                 self.due.extend(parts.into_iter().map(due));
--- a/crates/lab/src/scale/findings.rs
+++ b/crates/lab/src/scale/findings.rs
@@ -4,6 +4,7 @@
 use super::settings::Scale;
 use crate::fit;
 use crate::report::{Against, Measure, Outcome, Point, Ratio, Series, Slope};
+use crate::units::grouped;
 
 /// The most that a part may cost at the largest fleet, against the smallest.
 const AIM_SERVERS: f64 = 1.5;
@@ -119,5 +120,6 @@
     let Some((first, last, size)) = ends else { return Ratio { name: what, value: None, aim } };
     let cost = |point: &Point| point.values.get(&measure).copied().filter(|cost| *cost > 0.0);
     let value = cost(last).zip(cost(first)).map(|(last, first)| last / first);
-    Ratio { name: format!("{what}: {} against {} {size}", last.x, first.x), value, aim }
+    let name = format!("{what}: {} against {} {size}", grouped(last.x), grouped(first.x));
+    Ratio { name, value, aim }
 }
--- a/crates/lab/src/scale/plan.rs
+++ b/crates/lab/src/scale/plan.rs
@@ -4,6 +4,7 @@
 use super::fleet::Fleet;
 use super::point::{Spec, Work};
 use super::settings::Scale;
+use crate::units::grouped;
 
 /// Names of the series, for what is fitted to them.
 pub mod name {
@@ -118,7 +119,7 @@
             ),
             Planned {
                 name: name::CHANGE_BY_ENTRIES.into(),
-                title: format!("Change by its entries, {largest} leaf servers"),
+                title: format!("Change by its entries, {} leaf servers", grouped(largest as f64)),
                 size: "entries",
                 points: by_entries.collect(),
             },
@@ -151,7 +152,7 @@
         };
         Planned {
             name: name::QUERY_BY_PARTS.into(),
-            title: format!("Query by its parts, {servers} leaf servers"),
+            title: format!("Query by its parts, {} leaf servers", grouped(servers as f64)),
             size: "parts",
             points: self.0.part_steps.iter().map(point).collect(),
         }
@@ -162,7 +163,10 @@
         let point = |open: &u64| (*open, self.spec(servers, self.queries(self.workload(parts, *open))));
         Planned {
             name: name::query_by_open(parts),
-            title: format!("Query of {parts} parts by queries open, {servers} leaf servers"),
+            title: format!(
+                "Query of {parts} parts by queries open, {} leaf servers",
+                grouped(servers as f64)
+            ),
             size: "open queries",
             points: self.0.open.iter().map(point).collect(),
         }
@@ -179,7 +183,7 @@
         };
         Planned {
             name: name::CONNECTIONS.into(),
-            title: format!("Memory of connections to leaf servers, {servers} listed"),
+            title: format!("Memory of connections to leaf servers, {} listed", grouped(servers as f64)),
             size: "connections wanted",
             points: self.0.links.iter().map(point).collect(),
         }
@@ -193,7 +197,10 @@
         };
         Planned {
             name: name::OPEN_QUERIES.into(),
-            title: format!("Memory of open queries of {parts} parts, {servers} leaf servers"),
+            title: format!(
+                "Memory of open queries of {parts} parts, {} leaf servers",
+                grouped(servers as f64)
+            ),
             size: "open queries",
             points: self.0.open.iter().map(point).collect(),
         }
