Count the reducer's processor time alone, without what plays the sockets

Clock reads frame each batch of inputs. The player's share grows in weight as the reducer's cost falls, and would have drawn the ratios towards one.

--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Measure {
-    /// Processor time of one query, all its parts included.
+    /// Processor time of the reducer and its decisions for one query, all its parts included.
     QueryProcessorNs,
     /// The same divided by the parts of a query.
     PartProcessorNs,
--- a/crates/lab/src/scale/driver.rs
+++ b/crates/lab/src/scale/driver.rs
@@ -1,6 +1,7 @@
 //! Plays the sockets' part around the reducer: clients that ask, leaf servers that answer, in time of its own.
 
 use super::fleet::Fleet;
+use crate::meter::Stopwatch;
 use bytes::Bytes;
 use cottonhill_mixer::protocol::discovery::Listing;
 use cottonhill_mixer::protocol::leaf::{CallPart, End, FromLeaf, ToLeaf};
@@ -74,7 +75,7 @@
 pub struct Driver {
     state: State,
     now: u64,
-    inputs: VecDeque<Input>,
+    inputs: Vec<Input>,
     due: VecDeque<Due>,
     free: Vec<u64>,
     /// By client: it waits for a reply.
@@ -82,6 +83,7 @@
     answer_ns: u64,
     /// Leaf servers answer nothing.
     silent: bool,
+    reducer_ns: f64,
     counts: Counts,
 }
 
@@ -97,12 +99,13 @@
         Ok(Driver {
             state,
             now: BEGIN,
-            inputs: VecDeque::new(),
+            inputs: Vec::new(),
             due: VecDeque::new(),
             free: Vec::new(),
             waiting: Vec::new(),
             answer_ns: 0,
             silent: false,
+            reducer_ns: 0.0,
             counts: Counts::default(),
         })
     }
@@ -112,6 +115,11 @@
         self.counts
     }
 
+    /// Processor time of the reducer and its decisions so far, in nanoseconds; what plays the sockets is not in it.
+    pub fn reducer_ns(&self) -> f64 {
+        self.reducer_ns
+    }
+
     /// Version of the list in force.
     pub fn list_version(&self) -> u64 {
         self.state.list_index()
@@ -119,7 +127,7 @@
 
     /// Takes a list or a change into the reducer, and decides.
     pub fn take(&mut self, listing: Listing) {
-        self.inputs.push_back(Input::Listed(listing));
+        self.inputs.push(Input::Listed(listing));
         self.turn();
     }
 
@@ -127,7 +135,7 @@
     pub fn connect_clients(&mut self, workload: &Workload) {
         self.answer_ns = workload.answer_ns;
         for client in self.waiting.len() as u64..workload.open {
-            self.inputs.push_back(Input::ClientOpened { client });
+            self.inputs.push(Input::ClientOpened { client });
             self.waiting.push(false);
             self.free.push(client);
         }
@@ -174,7 +182,7 @@
             *waiting = true;
         }
         let asked = Asked::Query(query(self.counts.asked, workload.parts, shards));
-        self.inputs.push_back(Input::Asked { client, arrived: self.now, asked: Ok(asked) });
+        self.inputs.push(Input::Asked { client, arrived: self.now, asked: Ok(asked) });
     }
 
     /// Puts in the answers that are due, decides once, and lets `pace` pass.
@@ -183,33 +191,45 @@
             let Some(Due { link, id, .. }) = self.due.pop_front() else { break };
             let value = Bytes::from_static(b"doc");
             let frame = FromLeaf::Answer { id, end: End::Ok, report: "-".into(), value };
-            self.inputs.push_back(Input::LinkHeard { link, frame });
+            self.inputs.push(Input::LinkHeard { link, frame });
         }
         self.turn();
         self.now += pace;
     }
 
-    /// Puts in what has come, then the turn that decides.
+    /// Puts in what has come, then the turn that decides; and again what the effects bring back at once.
     fn turn(&mut self) {
         self.counts.turns += 1;
-        self.inputs.push_back(Input::Turn);
-        while let Some(input) = self.inputs.pop_front() {
-            for effect in self.state.apply(self.now, input) {
+        self.inputs.push(Input::Turn);
+        while !self.inputs.is_empty() {
+            for effect in self.apply() {
                 self.play(effect);
             }
         }
     }
 
+    /// Gives the reducer all that is ready. Only this counts as its processor time.
+    fn apply(&mut self) -> Vec<Effect> {
+        let inputs = std::mem::take(&mut self.inputs);
+        let mut effects = Vec::with_capacity(inputs.len());
+        let watch = Stopwatch::start();
+        for input in inputs {
+            effects.extend(self.state.apply(self.now, input));
+        }
+        self.reducer_ns += watch.nanos();
+        effects
+    }
+
     fn play(&mut self, effect: Effect) {
         match effect {
             Effect::Reply { client, reply, .. } => self.replied(client, &reply),
             Effect::Connect { link, .. } => {
                 self.counts.connections += 1;
-                self.inputs.push_back(Input::LinkOpened { link });
+                self.inputs.push(Input::LinkOpened { link });
             }
             Effect::Write { link, frame } => {
                 self.written(link, frame);
-                self.inputs.push_back(Input::LinkWrote { link });
+                self.inputs.push(Input::LinkWrote { link });
             }
             // Nothing else of the reducer's concerns clients or leaf servers.
             _ => {}
@@ -243,7 +263,7 @@
             }
             ToLeaf::Probe | ToLeaf::ProbeLoad => {
                 let frame = FromLeaf::Probed { ok: true, report: "-".into() };
-                self.inputs.push_back(Input::LinkHeard { link, frame });
+                self.inputs.push(Input::LinkHeard { link, frame });
             }
             // The answer may be on its way already; it comes all the same.
             ToLeaf::GiveUp(_) => {}
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -1,7 +1,7 @@
 //! `cottonhill-lab scale`: series that step one size at a time, on the reducer and its decisions, without sockets.
 //!
-//! Time in a run is the run's own: leaf servers answer after a fixed time, and processor time is what is measured. It
-//! includes that of the [`driver`], which plays the sockets' part.
+//! Time in a run is the run's own: leaf servers answer after a fixed time, and processor time is what is measured:
+//! that of the reducer alone, without that of the [`driver`], which plays the sockets' part.
 
 pub mod child;
 pub mod driver;
--- a/crates/lab/src/scale/point.rs
+++ b/crates/lab/src/scale/point.rs
@@ -132,11 +132,10 @@
     let mut driver = mixer(spec)?;
     driver.connect_clients(workload);
     warm_up(&mut driver, spec, workload, warm);
-    let before = driver.counts();
-    let watch = Stopwatch::start();
+    let before = (driver.counts(), driver.reducer_ns());
     let all = driver.run(workload, shards(spec, workload), queries, deadline(spec));
-    let nanos = watch.nanos();
-    let ended = since(before, driver.counts()).ended();
+    let nanos = driver.reducer_ns() - before.1;
+    let ended = since(before.0, driver.counts()).ended();
     if all {
         driver.drain(deadline(spec));
     }
