--- a/crates/lab/src/markdown.rs
+++ b/crates/lab/src/markdown.rs
@@ -113,7 +113,8 @@
 pub fn comparison(before: &Report, after: &Report) -> String {
     let mut slopes = table(["slope", "unit", "before", "after", "after / before"]);
     for slope in &after.slopes {
-        let then = before.slopes.iter().find(|then| then.name == slope.name);
+        let same = |then: &&Slope| then.series == slope.series && then.measure == slope.measure;
+        let then = before.slopes.iter().find(same);
         let then = then.and_then(|then| then.line).map(|line| line.slope);
         let now = slope.line.map(|line| line.slope);
         slopes.add_row([&slope.name, &slope.unit, &figure(then), &figure(now), &share(then, now)]);
--- a/crates/lab/src/scale/findings.rs
+++ b/crates/lab/src/scale/findings.rs
@@ -13,68 +13,96 @@
 /// The most that one changed entry may cost at the largest fleet, against the smallest.
 const AIM_CHANGE: f64 = 3.0;
 
+/// A slope that is read from a run.
+struct Wanted<'a> {
+    name: &'a str,
+    unit: &'a str,
+    series: &'a str,
+    measure: Measure,
+    against: Against,
+}
+
+fn by_size<'a>(name: &'a str, unit: &'a str, series: &'a str, measure: Measure) -> Wanted<'a> {
+    Wanted { name, unit, series, measure, against: Against::Size }
+}
+
 /// The slopes that are read from a run.
 pub fn slopes(scale: &Scale, series: &[Series]) -> Vec<Slope> {
-    use Measure::*;
+    let mut slopes = query_slopes(scale, series);
+    slopes.extend(change_slopes(series));
+    slopes.extend(list_slopes(series));
+    slopes.extend(memory_slopes(series));
+    slopes
+}
+
+fn query_slopes(scale: &Scale, series: &[Series]) -> Vec<Slope> {
+    const SERVER: &str = "ns a leaf server";
     let wide = scale.widest();
     let by_servers = name::query_by_servers(wide);
     let same_shards = name::query_same_shards(wide);
     let by_open = name::query_by_open(wide);
-    let size = Against::Size;
-    let wanted: [(&str, &str, &str, Measure, Against); 14] = [
-        ("processor time a part", "ns a part", name::QUERY_BY_PARTS, QueryProcessorNs, size),
-        (
-            "a query's processor time by leaf servers listed",
-            "ns a leaf server",
-            &by_servers,
-            QueryProcessorNs,
-            size,
-        ),
-        ("the same, connections open", "ns a leaf server", &same_shards, QueryProcessorNs, size),
-        ("a query's processor time by queries open", "ns an open query", &by_open, QueryProcessorNs, size),
-        ("processor time a changed entry", "ns an entry", name::CHANGE_BY_ENTRIES, ChangeProcessorNs, size),
-        ("bytes a changed entry", "bytes an entry", name::CHANGE_BY_ENTRIES, ChangeBytes, size),
-        (
-            "a change's processor time by leaf servers listed",
-            "ns a leaf server",
-            name::CHANGE_ONE,
-            ChangeProcessorNs,
-            size,
-        ),
-        ("bytes an entry of the whole list", "bytes an entry", name::LIST, ListBytes, size),
-        ("processor time to parse an entry", "ns an entry", name::LIST, ParseProcessorNs, size),
-        ("processor time to take an entry", "ns an entry", name::LIST, TakeProcessorNs, size),
-        (
-            "processor time to take an unchanged entry again",
-            "ns an entry",
-            name::LIST,
-            RetakeProcessorNs,
-            size,
-        ),
-        ("resident memory an entry", "bytes an entry", name::LIST, ResidentBytes, size),
-        (
-            "resident memory a connection",
-            "bytes a connection",
-            name::CONNECTIONS,
-            ResidentBytes,
-            Against::Measure(Connections),
-        ),
-        (
-            "resident memory an open query",
-            "bytes a query",
-            name::OPEN_QUERIES,
-            ResidentBytes,
-            Against::Measure(QueriesUnanswered),
-        ),
+    let measure = Measure::QueryProcessorNs;
+    let listed = "a query's processor time by leaf servers listed";
+    let listed_open = "a query's processor time by leaf servers listed, connections open";
+    let wanted = [
+        by_size("processor time a part", "ns a part", name::QUERY_BY_PARTS, measure),
+        by_size(listed, SERVER, &by_servers, measure),
+        by_size(listed_open, SERVER, &same_shards, measure),
+        by_size("a query's processor time by queries open", "ns an open query", &by_open, measure),
     ];
-    wanted
-        .into_iter()
-        .map(|(what, unit, of, measure, against)| slope(series, what, unit, of, measure, against))
-        .collect()
+    wanted.iter().map(|wanted| slope(series, wanted)).collect()
 }
 
-fn slope(all: &[Series], what: &str, unit: &str, of: &str, measure: Measure, against: Against) -> Slope {
-    let points = all.iter().find(|series| series.name == of).map_or(&[][..], |series| &series.points);
+fn change_slopes(series: &[Series]) -> Vec<Slope> {
+    let (entries, time) = (name::CHANGE_BY_ENTRIES, Measure::ChangeProcessorNs);
+    let listed = "a change's processor time by leaf servers listed";
+    let wanted = [
+        by_size("processor time a changed entry", "ns an entry", entries, time),
+        by_size("bytes a changed entry", "bytes an entry", entries, Measure::ChangeBytes),
+        by_size(listed, "ns a leaf server", name::CHANGE_ONE, time),
+    ];
+    wanted.iter().map(|wanted| slope(series, wanted)).collect()
+}
+
+fn list_slopes(series: &[Series]) -> Vec<Slope> {
+    const TIME: &str = "ns an entry";
+    const BYTES: &str = "bytes an entry";
+    let again = "processor time to take an unchanged entry again";
+    let wanted = [
+        by_size("bytes an entry of the whole list", BYTES, name::LIST, Measure::ListBytes),
+        by_size("processor time to parse an entry", TIME, name::LIST, Measure::ParseProcessorNs),
+        by_size("processor time to take an entry", TIME, name::LIST, Measure::TakeProcessorNs),
+        by_size(again, TIME, name::LIST, Measure::RetakeProcessorNs),
+        by_size("resident memory an entry", BYTES, name::LIST, Measure::ResidentBytes),
+    ];
+    wanted.iter().map(|wanted| slope(series, wanted)).collect()
+}
+
+fn memory_slopes(series: &[Series]) -> Vec<Slope> {
+    let measure = Measure::ResidentBytes;
+    let wanted = [
+        Wanted {
+            name: "resident memory a connection",
+            unit: "bytes a connection",
+            series: name::CONNECTIONS,
+            measure,
+            against: Against::Measure(Measure::Connections),
+        },
+        Wanted {
+            name: "resident memory an open query",
+            unit: "bytes a query",
+            series: name::OPEN_QUERIES,
+            measure,
+            against: Against::Measure(Measure::QueriesUnanswered),
+        },
+    ];
+    wanted.iter().map(|wanted| slope(series, wanted)).collect()
+}
+
+fn slope(all: &[Series], wanted: &Wanted) -> Slope {
+    let Wanted { name, unit, series, measure, against } = *wanted;
+    let found = all.iter().find(|found| found.name == series);
+    let points = found.map_or(&[][..], |found| &found.points);
     // A refused size was measured past the bound that refuses it: it is shown, and enters no fit.
     let usable = points.iter().filter(|point| matches!(point.outcome, Outcome::Measured | Outcome::Cut));
     let pair = |point: &Point| {
@@ -85,14 +113,8 @@
         Some((x, *point.values.get(&measure)?))
     };
     let pairs: Vec<(f64, f64)> = usable.filter_map(pair).collect();
-    Slope {
-        name: what.into(),
-        unit: unit.into(),
-        series: of.into(),
-        measure,
-        against,
-        line: fit::line(&pairs),
-    }
+    let line = fit::line(&pairs);
+    Slope { name: name.into(), unit: unit.into(), series: series.into(), measure, against, line }
 }
 
 /// Last size of each series against its first, with the aims.
