--- a/crates/lab/src/fit.rs
+++ b/crates/lab/src/fit.rs
@@ -1,4 +1,4 @@
-//! A straight line through points, by least squares.
+//! A straight line through points, by least squares, and the middle of several values.
 
 use serde::{Deserialize, Serialize};
 
@@ -31,3 +31,11 @@
     let residual = if mean_y == 0.0 { 0.0 } else { (missed / count).sqrt() / mean_y.abs() };
     Some(Line { slope, intercept, residual, points: points.len() })
 }
+
+/// The middle value, or the mean of the two in the middle; none of none.
+pub fn median(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    let upper = *values.get(values.len() / 2)?;
+    let lower = *values.get((values.len() - 1) / 2)?;
+    Some((lower + upper) / 2.0)
+}
--- a/crates/lab/src/markdown.rs
+++ b/crates/lab/src/markdown.rs
@@ -28,7 +28,8 @@
         "## Slopes".to_string(),
         slopes(&report.slopes),
         "The residual is the root mean square of what the line misses, as a share of the mean; two points have \
-         none. Refused sizes enter no fit."
+         none. Refused sizes enter no fit. Processor times of queries and changes are those of the reducer and its \
+         decisions, the median of the slices that a point is measured in; their counts are of the whole point."
             .to_string(),
         "## Ratios".to_string(),
         ratios(&report.ratios),
--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -112,6 +112,9 @@
         .label_style((FONT, 15))
         .x_label_formatter(&|x| shown(*x, x_unit))
         .y_label_formatter(&|y| shown(*y, y_unit))
+        .x_labels(6)
+        .y_labels(6)
+        .max_light_lines(4)
         .light_line_style(RGBColor(240, 240, 240))
         .draw()
         .map_err(|e| e.to_string())?;
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -12,7 +12,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Measure {
-    /// Processor time of the reducer and its decisions for one query, all its parts included.
+    /// Processor time of the reducer and its decisions for one query, all its parts included: the
+    /// median of the slices that a point is measured in.
     QueryProcessorNs,
     /// The same divided by the parts of a query.
     PartProcessorNs,
@@ -47,13 +48,15 @@
     ChangeMessages,
     /// Bytes of one message as JSON.
     ChangeBytes,
-    /// Processor time of one change message, parsed, taken and decided on.
+    /// Processor time of one change message, parsed, taken and decided on: the median of pairs of messages.
     ChangeProcessorNs,
     /// The same divided by the entries of the message.
     ChangedEntryProcessorNs,
     /// Resident memory that this point's state added, in bytes.
     ResidentBytes,
-    /// The most that the process held meanwhile, its program included, in bytes.
+    /// The most that the process held until the list was taken, its program included, in bytes.
+    FirstPeakResidentBytes,
+    /// The most that the process held over the whole point, its program included, in bytes.
     PeakResidentBytes,
 }
 
--- a/crates/lab/src/scale/point.rs
+++ b/crates/lab/src/scale/point.rs
@@ -3,6 +3,7 @@
 use super::driver::{Counts, Driver, Workload};
 use super::fleet::{Fleet, Standing};
 use super::watch::{read_whole, Whole};
+use crate::fit::median;
 use crate::meter::{peak_resident_bytes, resident_bytes, Stopwatch};
 use crate::report::{Measure, Outcome, Values};
 use cottonhill_mixer::protocol::discovery;
@@ -11,6 +12,9 @@
 
 /// Of the time of a point, the share that queries before the measured ones may take once so many are open as shall be.
 const WARM_SHARE: u32 = 4;
+/// A point is measured in so many slices, and the middle one counts: what else runs on the machine for a while, and
+/// takes its caches, moves some of them alone.
+const SLICES: u32 = 8;
 
 /// What is measured at a point.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -106,6 +110,7 @@
     driver.take(listing);
     let take_ns = watch.nanos();
     let held = resident_bytes().saturating_sub(before);
+    let first_peak = peak_resident_bytes();
     let again = read_whole(spec.fleet, 2)?.listing;
     let watch = Stopwatch::start();
     driver.take(again);
@@ -115,6 +120,7 @@
         (Measure::TakeProcessorNs, take_ns),
         (Measure::RetakeProcessorNs, watch.nanos()),
         (Measure::ResidentBytes, held as f64),
+        (Measure::FirstPeakResidentBytes, first_peak as f64),
         (Measure::PeakResidentBytes, peak_resident_bytes() as f64),
     ]);
     let sample = Sample::measured(values);
@@ -132,18 +138,22 @@
     let mut driver = mixer(spec)?;
     driver.connect_clients(workload);
     warm_up(&mut driver, spec, workload, warm);
-    let before = (driver.counts(), driver.reducer_ns());
-    let all = driver.run(workload, shards(spec, workload), queries, deadline(spec));
-    let nanos = driver.reducer_ns() - before.1;
-    let ended = since(before.0, driver.counts()).ended();
+    let (before, until) = (driver.counts(), deadline(spec));
+    let mut costs = Vec::new();
+    for slice in 0..u64::from(SLICES) {
+        let due = queries * (slice + 1) / u64::from(SLICES) - queries * slice / u64::from(SLICES);
+        costs.extend(slice_cost(&mut driver, spec, workload, due, until));
+    }
+    let all = driver.counts().asked - before.asked == queries;
+    let ended = since(before, driver.counts()).ended();
     if all {
         driver.drain(deadline(spec));
     }
     let mut values = counted(driver.counts());
     values.insert(Measure::QueriesMeasured, ended as f64);
-    if ended > 0 {
-        values.insert(Measure::QueryProcessorNs, nanos / ended as f64);
-        values.insert(Measure::PartProcessorNs, nanos / (ended * workload.parts) as f64);
+    if let Some(cost) = median(costs) {
+        values.insert(Measure::QueryProcessorNs, cost);
+        values.insert(Measure::PartProcessorNs, cost / workload.parts as f64);
     }
     let unanswered = driver.counts().unanswered();
     let sample = Sample::measured(values);
@@ -154,6 +164,17 @@
     })
 }
 
+/// Processor time of the reducer a query, over `queries` queries or a slice of the time; none if none ended.
+fn slice_cost(
+    driver: &mut Driver, spec: &Spec, workload: &Workload, queries: u64, until: Instant,
+) -> Option<f64> {
+    let until = until.min(Instant::now() + Duration::from_millis(spec.time_ms) / SLICES);
+    let before = (driver.counts(), driver.reducer_ns());
+    driver.run(workload, shards(spec, workload), queries, until);
+    let ended = since(before.0, driver.counts()).ended();
+    (ended > 0).then(|| (driver.reducer_ns() - before.1) / ended as f64)
+}
+
 /// What came to pass after `before`.
 fn since(before: Counts, after: Counts) -> Counts {
     Counts {
@@ -185,7 +206,7 @@
 fn changes(spec: &Spec, entries: u64, messages: u64) -> Result<Sample, String> {
     let mut driver = mixer(spec)?;
     let until = deadline(spec);
-    let (mut nanos, mut bytes, mut done) = (0.0, 0, 0);
+    let (mut costs, mut bytes, mut done) = (Vec::new(), 0, 0);
     while done < messages && Instant::now() < until {
         // Each pair of messages takes the same leaf servers out and brings them back.
         let standing = if done % 2 == 0 { Standing::Draining } else { Standing::Up };
@@ -193,17 +214,19 @@
         bytes += text.len();
         let watch = Stopwatch::start();
         driver.take(discovery::read(text.as_bytes())?.ok_or("an empty change")?);
-        nanos += watch.nanos();
+        costs.push(watch.nanos());
         done += 1;
     }
+    let cost = median(costs.chunks(2).map(|pair| pair.iter().sum::<f64>() / pair.len() as f64).collect());
+    let cost = cost.ok_or("no change was taken in time")?;
     if driver.list_version() != done + 1 {
         return Err(format!("version {} in force after {done} changes", driver.list_version()));
     }
     let values = Values::from([
         (Measure::ChangeMessages, done as f64),
         (Measure::ChangeBytes, bytes as f64 / done as f64),
-        (Measure::ChangeProcessorNs, nanos / done as f64),
-        (Measure::ChangedEntryProcessorNs, nanos / (done * entries) as f64),
+        (Measure::ChangeProcessorNs, cost),
+        (Measure::ChangedEntryProcessorNs, cost / entries as f64),
     ]);
     let sample = Sample::measured(values);
     Ok(if done == messages { sample } else { sample.cut(format!("cut after {done} messages")) })
--- a/crates/lab/src/units.rs
+++ b/crates/lab/src/units.rs
@@ -22,7 +22,9 @@
             | RetakeProcessorNs
             | ChangeProcessorNs
             | ChangedEntryProcessorNs => Unit::Nanoseconds,
-            ListBytes | ChangeBytes | ResidentBytes | PeakResidentBytes => Unit::Bytes,
+            ListBytes | ChangeBytes | ResidentBytes | FirstPeakResidentBytes | PeakResidentBytes => {
+                Unit::Bytes
+            }
             QueriesMeasured | QueriesAsked | QueriesAnswered | QueriesRefused | QueriesUnanswered
             | RepliesTwice | Attempts | Calls | Connections | Turns | ChangeMessages => Unit::Count,
         }
@@ -30,8 +32,9 @@
 
     /// Whether it is processor time or memory; the rest is counted.
     pub fn is_cost(self) -> bool {
-        self.unit() == Unit::Nanoseconds
-            || matches!(self, Measure::ResidentBytes | Measure::PeakResidentBytes)
+        use Measure::*;
+        let memory = matches!(self, ResidentBytes | FirstPeakResidentBytes | PeakResidentBytes);
+        memory || self.unit() == Unit::Nanoseconds
     }
 
     /// The head of its column.
@@ -59,6 +62,7 @@
             ChangeProcessorNs => "processor, a message",
             ChangedEntryProcessorNs => "processor, an entry",
             ResidentBytes => "resident, added",
+            FirstPeakResidentBytes => "resident, first peak",
             PeakResidentBytes => "resident, peak",
         }
     }
--- a/crates/lab/tests/reports.rs
+++ b/crates/lab/tests/reports.rs
@@ -1,6 +1,6 @@
 //! Fits, figures and the comparison of two reports, on known data.
 
-use cottonhill_lab::fit::{line, Line};
+use cottonhill_lab::fit::{line, median, Line};
 use cottonhill_lab::machine::Machine;
 use cottonhill_lab::markdown::{comparison, page};
 use cottonhill_lab::report::{
@@ -82,6 +82,14 @@
     assert!(line(&[(1.0, 0.0), (2.0, 0.0)]).is_some_and(|line| line.residual == 0.0 && line.slope == 0.0));
 }
 
+#[test]
+fn the_middle_is_not_moved_by_what_lies_far_out() {
+    assert_eq!(median(vec![]), None);
+    assert_eq!(median(vec![3.0]), Some(3.0));
+    assert_eq!(median(vec![900.0, 2.0, 1.0]), Some(2.0));
+    assert_eq!(median(vec![4.0, 900.0, 2.0, 1.0]), Some(3.0));
+}
+
 #[test]
 fn a_refused_size_is_shown_and_enters_no_fit() {
     let values = |x: f64| Values::from([(Measure::ResidentBytes, 1_000.0 * x)]);
