--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -48,7 +48,7 @@
     ChangeMessages,
     /// Bytes of one message as JSON.
     ChangeBytes,
-    /// Processor time of one change message, parsed, taken and decided on: the median of pairs of messages.
+    /// Processor time of one change message, parsed, taken and decided on: the median of slices.
     ChangeProcessorNs,
     /// The same divided by the entries of the message.
     ChangedEntryProcessorNs,
--- a/crates/lab/src/scale/point.rs
+++ b/crates/lab/src/scale/point.rs
@@ -217,8 +217,10 @@
         costs.push(watch.nanos());
         done += 1;
     }
-    let cost = median(costs.chunks(2).map(|pair| pair.iter().sum::<f64>() / pair.len() as f64).collect());
-    let cost = cost.ok_or("no change was taken in time")?;
+    // Whole pairs in each slice, and enough that work put off for a few messages shows.
+    let slice = costs.len().div_ceil(SLICES as usize).next_multiple_of(2).max(2);
+    let mean = |costs: &[f64]| costs.iter().sum::<f64>() / costs.len() as f64;
+    let cost = median(costs.chunks(slice).map(mean).collect()).ok_or("no change was taken in time")?;
     if driver.list_version() != done + 1 {
         return Err(format!("version {} in force after {done} changes", driver.list_version()));
     }
