--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -33,7 +33,7 @@
 /// Inputs that may be queued; past it sockets are not read until the reducer has caught up.
 const MOST_INPUTS: usize = 1024;
 /// The same for lists from discovery: one may be large, and the next can wait at its socket.
-const MOST_LISTS: usize = 2;
+pub const MOST_LISTS: usize = 2;
 /// The most inputs that one turn takes, so that timers are punctual under a flood.
 const MOST_BATCH: usize = 256;
 /// Commands that may be queued at one connection. The reducer gives each one frame or reply at a time.
@@ -129,7 +129,16 @@
 
 /// Starts a watch on discovery, for changes from a version on or with the whole list first.
 fn watch(shared: &Shared, address: SocketAddr, from: Option<u64>) -> AbortHandle {
-    tokio::task::spawn_local(watch::follow(shared.clone(), address, from)).abort_handle()
+    let Shared { pool, lists, watching, .. } = shared.clone();
+    tokio::task::spawn_local(watch::follow(pool, lists, watching, address, from)).abort_handle()
+}
+
+/// Follows discovery's list for ever as a serving mixer does, from version `from` on or from the whole list, and sends
+/// what it tells as inputs for the reducer. It ends only when it is dropped.
+pub async fn follow_list(
+    lists: mpsc::Sender<Input>, watching: Watching, address: SocketAddr, from: Option<u64>,
+) {
+    watch::follow(Pool::default(), lists, watching, address, from).await;
 }
 
 /// The next message of a connection; `None` at its end.
