Describe the public items around lists

Cause: public items around lists had no doc comments. Change: comments in the field's terms. Result: no code changed; the tests of the mixer passed before it.

--- a/crates/mixer/src/routing/counters.rs
+++ b/crates/mixer/src/routing/counters.rs
@@ -95,7 +95,9 @@
 /// The watch on discovery.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Watches {
+    /// Calls to discovery.
     pub asked: u64,
+    /// Watches and calls that ended otherwise than with the list that was asked for.
     pub ended: u64,
     /// Of those ended, the ones that had fallen silent.
     pub silent: u64,
--- a/crates/mixer/src/routing/messages.rs
+++ b/crates/mixer/src/routing/messages.rs
@@ -16,11 +16,12 @@
 /// What happens to the watch on discovery, beside the lists that it brings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WatchNews {
+    /// A watch or the whole list was asked for.
     Asked,
+    /// A sign of life came.
     Alive,
-    Ended {
-        silent: bool,
-    },
+    /// The watch ended; `silent` where nothing came on it in time.
+    Ended { silent: bool },
     /// A message was refused; the list in force stays and is asked for whole.
     Refused(ListFault),
     /// A whole list came whose version is below the one before it; it is taken.
--- a/crates/mixer/src/routing/replica_table.rs
+++ b/crates/mixer/src/routing/replica_table.rs
@@ -11,6 +11,7 @@
 pub struct Replica {
     /// Its number for the decision module.
     pub id: ReplicaId,
+    /// As listed; identical at every mixer.
     pub name: Box<str>,
     pub(super) address: Address,
     /// The latest of the starts that were announced.
@@ -19,6 +20,7 @@
     pub cell: u16,
     /// Its zone's number in the settings.
     pub zone: u16,
+    /// What may be sent to it.
     pub standing: Standing,
     /// Its last entry stated an earlier start than `started`.
     pub(super) started_earlier: bool,
@@ -51,6 +53,7 @@
         self.by_id.len()
     }
 
+    /// Whether there is no record.
     pub fn is_empty(&self) -> bool {
         self.by_id.is_empty()
     }
@@ -75,10 +78,12 @@
         self.by_name.find(self.hasher.hash_one(name), is_it).copied()
     }
 
+    /// The replica with this number.
     pub fn get(&self, id: ReplicaId) -> Option<&Replica> {
         self.at(self.slot(id)?)
     }
 
+    /// The replica in a slot.
     pub fn at(&self, slot: Slot) -> Option<&Replica> {
         self.records.get(slot as usize)?.as_ref()
     }
@@ -105,6 +110,7 @@
         slot
     }
 
+    /// Takes a replica out; its slot may be used by another from then on.
     pub fn remove(&mut self, id: ReplicaId) -> Option<Replica> {
         let slot = self.slot(id)?;
         let replica = self.records.get_mut(slot as usize)?.take()?;
--- a/crates/mixer/src/routing/watching.rs
+++ b/crates/mixer/src/routing/watching.rs
@@ -35,8 +35,8 @@
     pub retry_after: Option<Duration>,
 }
 
-/// What discovery has counts as announced so long after it had it and could be reached, whichever calls failed meanwhile;
-/// so does what a silent watch misses, from when it fell silent.
+/// What discovery has counts as announced so long after it had it and could be reached, whichever calls failed
+/// meanwhile; so does what a silent watch misses, from when it fell silent.
 pub const STALENESS_BOUND: Duration = Duration::from_secs(6);
 /// Of that, what is left for the try that succeeds: to connect, and to be answered.
 const LAST_TRY: Duration = Duration::from_millis(1_500);
