--- a/docs/capacity/arithmetic.py
+++ b/docs/capacity/arithmetic.py
@@ -14,7 +14,7 @@
 import sys
 from pathlib import Path
 
-from measured import read_all
+from measured import machines, read_all
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 PAGE = ROOT / "docs" / "CAPACITY.md"
@@ -73,7 +73,7 @@
 CONFIG_RATE = CONFIG_DAY / DAY_S
 LINKS = min((DESCRIPTORS - OWN - CLOSING) * LINK_SHARE // (LINK_SHARE + CLIENT_SHARE), DESCRIPTORS * LINK_SHARE // 100)
 CLIENTS = min(DESCRIPTORS - OWN - CLOSING - LINKS, DESCRIPTORS * CLIENT_SHARE // 100)
-ENTRY = S["S7"].value
+ENTRY = S["S9"].value
 PROBES = LEAVES - PART_RATE * TARGET_S  # of one round: all leaf servers but those met within the last target
 LATE_SHARE = 1 - WITHIN ** (1 / PARTS)
 LOG_RECORD, INGEST_CORE, LOG_CPU = 39.1, 500e3, (1.08, 1.20)  # docs/design/ledger.md, `make bench-ledger`, a83beea
@@ -147,14 +147,26 @@
 
 
 def slopes():
+    def cell(figure):
+        if figure is None:
+            return NOT_KNOWN
+        return number(figure.value) + ("" if figure.outcome == "measured" else f" ({figure.outcome})")
+
     rows = []
     for slope in S.values():
-        fit = "" if slope.residual is None else f"{slope.residual:.1%}"
-        rows.append([slope.key, slope.what, slope.unit, number(slope.before), number(slope.now), fit, slope.run,
+        missed = slope.figure and slope.figure.residual
+        fit = "" if missed is None else f"{missed:.1%}"
+        rows.append([slope.key, slope.what, slope.unit, cell(slope.before), cell(slope.now), fit, slope.run,
                      slope.used])
     return table(["", "slope", "unit", "before", "now", "fit residual", "run", "used for"], *rows)
 
 
+def runs():
+    rows = [[f"`{name}`", m["began"], m["commit"], f"{m['cores']} cores, {m['memory_bytes'] / 1e9:.0f} GB",
+             m["build"]] for name, m in machines().items()]
+    return table(["report", "began", "commit", "machine", "build"], *rows) if rows else "No report yet."
+
+
 def tail():
     """Share of parts that may be late, for answers that may leave out some of 69."""
     rows = []
@@ -217,12 +229,12 @@
         groups, instances = math.ceil(leaves / LINKS), math.ceil(mixers / CLIENTS)
         count = groups * instances * scopes
         rate = QUERIES * PARTS / count
-        cores = times(rate, S["S2"].value, 1e-6)
+        cores = times(rate, S["S2"].value, 1e-6 / PARTS)
         rows.append([scope, groups, instances, number(count), groups, f"{LINKS}, {math.ceil(mixers / instances)}",
                      instances, number(rate), number(cores)])
     return table(["leaf servers covered", "groups", "instances of each", "aggregators in all", "connections of a mixer",
                   "of an aggregator: leaf servers, mixers", "of a leaf server", "parts an aggregator /s",
-                  "its cores at S2"], *rows)
+                  "its cores at S2 / 69"], *rows)
 
 
 def lists():
@@ -300,10 +312,10 @@
         ["watches", number(each), "4,500 / 26"],
         ["signs of life, one in 2 s", f"{number(each / SIGN_OF_LIFE_S)} /s", ""],
         ["changed entries delivered", f"{number(ENTRY_RATE * each)} /s, {as_bytes(times(ENTRY_RATE * each, ENTRY))}/s",
-         "x entries a second, x S7"],
+         "x entries a second, x S9"],
         ["configuration deliveries", f"{number(CONFIG_RATE * each)} /s", ""],
         ["all that 24 KB/s a mixer allows", f"{as_bytes(CONTROL_BYTES * each)}/s", "24 KB x 173"],
-        ["whole lists to all its mixers", as_bytes(times(size(LEAVES), each)), "110,000 x S7 x 173"],
+        ["whole lists to all its mixers", as_bytes(times(size(LEAVES), each)), "110,000 x S9 x 173"],
     )
 
 
@@ -327,18 +339,21 @@
 # ---- Verdicts and the order of work ----------------------------------------------------------------------------------
 
 def verdicts():
-    cores, read = times(QUERY_RATE, S["S1"].value, 1e-6), times(CONFIG_RATE, S["S8"].value, 1e-3)
-    changes = times(ENTRY_RATE, S["S5"].value, 1e-6)
-    memory = S["S10"].value
-    work = None if None in (S["S11"].value, S["S12"].value) else (
-        S["S11"].value * (LINKS + CLIENTS) + S["S12"].value * QUERY_RATE * TARGET_S) / 1e3
+    cores, standing = (times(QUERY_RATE, S[key].value, 1e-6) for key in ("S1", "S2"))
+    sockets = times(QUERY_RATE, S["S16"].value, 1e-6)
+    changes, read = times(ENTRY_RATE, S["S6"].value, 1e-6), times(CONFIG_RATE, S["S11"].value, 1e-3)
+    memory, in_force = S["S13"].value, times(S["S17"].value, 1e-3)
+    work = None if None in (S["S14"].value, S["S15"].value) else (
+        (S["S14"].value + BUFFERS / 1e3) * (LINKS + CLIENTS) + S["S15"].value * QUERY_RATE * TARGET_S) / 1e3
     zone = size(LEAVES / ZONES)
     share = lambda x: NOT_KNOWN if x is None else f"{x:.2%} of a core"
     rows = [
-        ["**Mixer**, queries", f"{number(cores)} cores for the reducer and decisions (S1)", "1 core, all included",
-         verdict(cores, 1.0), "inverted index of replicas by shard", "`crates/decisions`; see S3, S4"],
-        ["with sockets and parsing", f"{NOT_KNOWN} (S13)", "1 core", verdict(None, 0), "event loop, one thread",
-         "`mixer/src/transport`"],
+        ["**Mixer**, queries, reducer and decisions alone",
+         f"{number(cores)} cores (S1); {number(standing)} with standing connections (S2)", "1 core, all included",
+         verdict(cores, 1.0), "inverted index of replicas by shard",
+         "`crates/decisions`; see S3 to S5"],
+        ["with sockets and parsing", f"{number(sockets)} cores (S16)", "1 core", verdict(sockets, 1.0),
+         "event loop, one thread", "`mixer/src/transport`"],
         ["69 ms at p99", f"leaf servers' p{100 * (1 - LATE_SHARE):.3f}", "69 ms less the mixer's share",
          verdict(None, 0), "hedged requests with a cap", "`push_on`, `copies_left` in `choice.rs`"],
         ["open queries and parts", number(QUERY_RATE * TARGET_S + PART_RATE * TARGET_S), f"{OPEN_CAP:,} (`open_cap`)",
@@ -348,13 +363,13 @@
         ["what it knows of a leaf server", f"{1 / PAIR_RATE:.1f} s old", f"fades in {FADE * TARGET_S:.3f} s",
          verdict(1 / PAIR_RATE, FADE * TARGET_S), "subsetting; power of two choices on reported load",
          "missing; reports are read (`state/links.rs`) and not used"],
-        ["memory for its work", "" + (f"{number(work)} MB (S11, S12)" if work else NOT_KNOWN), "not told",
+        ["memory for its work", "" + (f"{number(work)} MB (S14, S15, buffers)" if work else NOT_KNOWN), "not told",
          verdict(None, 0), "buffer pool", "`transport/pool.rs`"],
-        ["**Mixer**, control: changes", share(changes) + " (S5)", "1.5%", verdict(changes, CONTROL_CORE),
+        ["**Mixer**, control: changes", share(changes) + " (S6)", "1.5%", verdict(changes, CONTROL_CORE),
          "delta encoding, applied by entry", "`routing/replicas.rs`"],
-        ["whole list at each reload", share(read) + " (S8)", "1.5%", verdict(read, CONTROL_CORE),
+        ["whole list at each reload", share(read) + " (S11)", "1.5%", verdict(read, CONTROL_CORE),
          "delta encoding from a version", "missing: `reloaded` asks an agent for all"],
-        ["memory of the list", "" if memory is None else f"{number(memory)} MB at most (S10)", "128 MB",
+        ["memory of the list", f"{number(memory)} MB at most (S13)", "128 MB",
          verdict(memory, CONTROL_MB), "interned names, compact records", "`routing/replicas.rs`"],
         ["bytes, ordinary day", f"{as_bytes(size(ENTRY_RATE))}/s", "24 KB/s", verdict(size(ENTRY_RATE), CONTROL_BYTES),
          "delta encoding", "protocol's watch, `transport/watch.rs`"],
@@ -371,8 +386,9 @@
         ["probes, a tenth suspected", f"{number(PROBES)} a mixer at once", f"{LINKS} connections",
          verdict(PROBES, LINKS), "probe budget, outlier ejection", "missing: `probe_round` has no bound"],
         ["**Discovery**: fan-out", f"{number(MIXERS / CONTROL_MACHINES)} watches a machine", "26 machines",
-         verdict(None, 0), "push over long-lived streams", "the platform's agents; stand-in measured by S14, S15"],
-        ["a change in force, watch alive", f"{NOT_KNOWN} (S14)", "3 s", verdict(None, 0), "push, consistent prefix",
+         verdict(None, 0), "push over long-lived streams", "the platform's agents; a stand-in by S18, S19"],
+        ["a change in force, watch alive", f"{number(in_force)} s (S17)", "3 s", verdict(in_force, IN_FORCE_S),
+         "push, consistent prefix",
          "`transport/watch.rs`, `index` of the list"],
         ["a change in force, watch dead", f"over {SILENT_S:g} s", "3 s", "**does not fit**", "heartbeat and lease",
          "`routing/watching.rs`; sign of life too rare"],
@@ -393,7 +409,7 @@
 def order():
     cores = times(QUERY_RATE, S["S1"].value, 1e-6)
     zone = times(size(LEAVES / ZONES), 1 / (CONTROL_BYTES * IN_FORCE_S))
-    read = times(CONFIG_RATE, S["S8"].value, 1e-3, 1 / CONTROL_CORE)
+    read = times(CONFIG_RATE, S["S11"].value, 1e-3, 1 / CONTROL_CORE)
     least = LEAVES / COPIES[0]
     listed = times(CONFIG_RATE, size(LEAVES), 1 / CONTROL_BYTES)
     work = [
@@ -402,7 +418,7 @@
          f"each shard at P = {COPIES[0]}, {LINKS} allowed"),
         (listed, "versioned configuration by the watch: no whole list at a reload, settings live",
          f"{as_bytes(times(CONFIG_RATE, size(LEAVES)))}/s of lists at 17,000 reloads a day, 24 KB/s allowed; "
-         f"{number(read)} times the processor time (S8)"),
+         f"{number(read)} times the processor time (S11)"),
         (zone, "one record for a failure domain, or compact deltas", f"{as_bytes(size(LEAVES / ZONES))} for a zone in "
          "3 s, 72 KB allowed"),
         (PROBES / LINKS, "probe budget; no connection of our own is not silence of theirs; regions known to the mixer",
@@ -424,8 +440,8 @@
 
 
 TABLES = {f.__name__.replace("_", "-"): f for f in (
-    verdicts, slopes, derived, tail, hedging, time_left, connections, tree, lists, discovery, freshness, regions, cold,
-    ledger, order)}
+    verdicts, slopes, runs, derived, tail, hedging, time_left, connections, tree, lists, discovery, freshness, regions,
+    cold, ledger, order)}
 
 
 def filled(page):
--- a/docs/capacity/measured.py
+++ b/docs/capacity/measured.py
@@ -1,13 +1,23 @@
 """The measured slopes of docs/CAPACITY.md, read from the reports of the scale runs beside this file.
 
-A report that is missing, or that has no such point, gives None: the page then says "not known".
+A report that is missing, or that holds no such point, gives None: the page then says "not known".
 """
 import json
 from pathlib import Path
-from typing import Callable, NamedTuple, Optional
+from typing import NamedTuple, Optional
 
 HERE = Path(__file__).resolve().parent
-LEAVES = 110_000
+REPORTS = {"scale": ("before.json", "scale.json"), "hollow": ("hollow-before.json", "hollow.json")}
+LEAVES, FEW_LEAVES = 110_000, 300
+MOST_OPEN, FEW_OPEN = 512, 8
+
+
+class Figure(NamedTuple):
+    """A measured value, how its point ended, and what the fitted line misses as a share of the mean."""
+
+    value: float
+    outcome: str = "measured"
+    residual: Optional[float] = None
 
 
 class Slope(NamedTuple):
@@ -16,111 +26,127 @@
     key: str
     what: str
     unit: str
-    now: Optional[float]
-    before: Optional[float]
-    residual: Optional[float]
+    before: Optional[Figure]
+    now: Optional[Figure]
     run: str
     used: str
 
+    @property
+    def figure(self):
+        """What the page reckons with: the program as it is, else as it was before the index of replicas."""
+        return self.now or self.before
+
     @property
     def value(self):
-        """The figure that the page reckons with: of the program as it is, else as it was before the mechanism."""
-        return self.before if self.now is None else self.now
+        return self.figure and self.figure.value
+
+
+def series_of(report, name):
+    return next((series for series in report["series"] if series["name"] == name), {"points": []})
 
 
-def load(name):
-    path = HERE / name
-    return json.loads(path.read_text()) if path.exists() else None
+def residual(report, series, measure):
+    for slope in report["slopes"]:
+        if slope["series"] == series and slope["measure"] == measure and slope["line"]:
+            return slope["line"]["residual"]
+    return None
 
 
-def point(report, size, measures, x):
-    """The sum of `measures` where the series that steps `size` has `x`."""
-    for series in (report or {}).get("series", []):
-        if size not in (series["name"], series["size"]):
-            continue
-        for found in series["points"]:
+def point(series, x, *measures, scale=1.0):
+    """Reads the sum of the measures at size `x`, times `scale`."""
+    def read(report):
+        for found in series_of(report, series)["points"]:
             values = found["values"]
             if found["x"] == x and all(measure in values for measure in measures):
-                return sum(values[measure] for measure in measures)
-    return None
+                total = sum(values[measure] for measure in measures) * scale
+                return Figure(total, found["outcome"], residual(report, series, measures[0]))
+        return None
+    return read
+
+
+def ratio(series, measure, large, small):
+    """Reads a measure at one size against the same at another."""
+    def read(report):
+        top, bottom = point(series, large, measure)(report), point(series, small, measure)(report)
+        if not top or not bottom or not bottom.value:
+            return None
+        return Figure(top.value / bottom.value, top.outcome if top.outcome != "measured" else bottom.outcome)
+    return read
 
 
-def ratio(report, size, measure, large, small):
-    top, bottom = (point(report, size, [measure], x) for x in (large, small))
-    return top / bottom if top is not None and bottom else None
+def line(series, measure, scale):
+    """Reads the slope of the line fitted to a series."""
+    def read(report):
+        for slope in report["slopes"]:
+            if slope["series"] == series and slope["measure"] == measure and slope["line"]:
+                return Figure(slope["line"]["slope"] * scale, residual=slope["line"]["residual"])
+        return None
+    return read
 
 
-def line(report, size, measure):
-    """Slope and residual of the line fitted to a series, or None."""
-    names = [s["name"] for s in (report or {}).get("series", []) if size in (s["name"], s["size"])]
-    for slope in (report or {}).get("slopes", []):
-        if slope["series"] in names and slope["measure"] == measure and slope["line"]:
-            return slope["line"]
+def missing(_report):
     return None
 
 
-def read_all():
+QUERY, SAME = "query-of-69-parts-by-servers", "query-of-69-parts-by-servers-same-shards"
+OPEN = "query-of-69-parts-by-open-queries"
+ONE, ZONE, LIST = "change-of-one-entry-by-servers", "change-of-a-zone-by-servers", "whole-list-by-servers"
+LINKS, WAITING = "memory-by-connections", "memory-by-open-queries"
+# key, what, unit, how it is read, kind of report, what rests on it
+LINES = [
+    ("S1", "processor time of a query of 69 parts, 110,000 leaf servers, all shards asked", "us",
+     point(QUERY, LEAVES, "query_processor_ns", scale=1e-3), "scale", "a query"),
+    ("S2", "the same, the shards of 300 servers asked, so that connections stand", "us",
+     point(SAME, LEAVES, "query_processor_ns", scale=1e-3), "scale", "a query, tree"),
+    ("S3", "a part at 110,000 leaf servers to one at 300, all shards asked", "ratio",
+     ratio(QUERY, "part_processor_ns", LEAVES, FEW_LEAVES), "scale", "a query"),
+    ("S4", "the same, the same shards asked", "ratio",
+     ratio(SAME, "part_processor_ns", LEAVES, FEW_LEAVES), "scale", "a query"),
+    ("S5", "a part with 512 queries open to one with 8", "ratio",
+     ratio(OPEN, "part_processor_ns", MOST_OPEN, FEW_OPEN), "scale", "a query"),
+    ("S6", "processor time of a change of one entry, 110,000 leaf servers", "us",
+     point(ONE, LEAVES, "change_processor_ns", scale=1e-3), "scale", "control"),
+    ("S7", "a changed entry at 110,000 leaf servers to one at 300", "ratio",
+     ratio(ONE, "changed_entry_processor_ns", LEAVES, FEW_LEAVES), "scale", "control"),
+    ("S8", "processor time of a zone's 7,333 entries in one message", "ms",
+     point(ZONE, LEAVES, "change_processor_ns", scale=1e-6), "scale", "lists"),
+    ("S9", "bytes of an entry as JSON", "B", point(LIST, LEAVES, "list_bytes", scale=1 / LEAVES), "scale", "lists"),
+    ("S10", "processor time of the first whole list, read and taken", "ms",
+     point(LIST, LEAVES, "parse_processor_ns", "take_processor_ns", scale=1e-6), "scale", "start"),
+    ("S11", "the same, of one that changes nothing", "ms",
+     point(LIST, LEAVES, "parse_processor_ns", "retake_processor_ns", scale=1e-6), "scale", "reload"),
+    ("S12", "resident memory of the list of 110,000", "MB",
+     point(LIST, LEAVES, "resident_bytes", scale=1e-6), "scale", "memory"),
+    ("S13", "the most held while it is read, the program included", "MB",
+     point(LIST, LEAVES, "peak_resident_bytes", scale=1e-6), "scale", "memory"),
+    ("S14", "memory of a connection in the reducer, buffers aside", "KB",
+     line(LINKS, "resident_bytes", 1e-3), "scale", "memory"),
+    ("S15", "memory of an open query of 69 parts", "KB", line(WAITING, "resident_bytes", 1e-3), "scale", "memory"),
+    ("S16", "processor time of a query of 69 parts over sockets, one real mixer", "us", missing, "hollow", "a query"),
+    ("S17", "a change at discovery until in force at the last mixer, 99th percentile", "ms", missing, "hollow", "3 s"),
+    ("S18", "processor time at discovery of one change for one mixer", "us", missing, "hollow", "discovery"),
+    ("S19", "discovery comes back: until the last mixer has its list", "ms", missing, "hollow", "discovery"),
+]
+RUNS = {"scale": "`make scale`", "hollow": "`make scale`, hollow mixers"}
+
+
+def read_all(folder=HERE):
     """All slopes by their key."""
-    before, now = load("before.json"), load("scale.json")
-    hollow_before, hollow = load("hollow-before.json"), load("hollow.json")
+    reports = {}
+    for kind, names in REPORTS.items():
+        paths = [folder / name for name in names]
+        reports[kind] = [json.loads(path.read_text()) if path.exists() else None for path in paths]
     slopes = {}
-
-    def add(key, what, unit, run, used, read: Callable, reports=(now, before), residual=None):
-        values = [read(report) if report else None for report in reports]
-        found = next((r for r in reports if r and read(r) is not None), None)
-        missed = residual(found) if residual and found else None
-        slopes[key] = Slope(key, what, unit, values[0], values[1], missed, run, used)
-
-    def at(measures, scale, size="leaf servers", x=LEAVES):
-        def read(report):
-            value = point(report, size, measures, x)
-            return None if value is None else value * scale
-        return read
-
-    def residual(measure, size="leaf servers"):
-        def read(report):
-            fitted = line(report, size, measure)
-            return fitted and fitted["residual"]
-        return read
-
-    def slope(measure, scale, size):
-        def read(report):
-            fitted = line(report, size, measure)
-            return fitted and fitted["slope"] * scale
-        return read
-
-    scale = "`make scale`"
-    add("S1", "processor time of a query of 69 parts, 110,000 leaf servers", "us", scale, "mixer",
-        at(["query_processor_ns"], 1e-3), residual=residual("query_processor_ns"))
-    add("S2", "the same for each part", "us", scale, "mixer, tree", at(["part_processor_ns"], 1e-3))
-    add("S3", "a part at 110,000 leaf servers to one at 300", "ratio", scale, "mixer",
-        lambda r: ratio(r, "leaf servers", "part_processor_ns", LEAVES, 300))
-    add("S4", "a part at 512 open queries to one at 8", "ratio", scale, "mixer",
-        lambda r: ratio(r, "open queries", "part_processor_ns", 512, 8))
-    add("S5", "processor time of one changed entry, 110,000 leaf servers", "us", scale, "control",
-        at(["changed_entry_processor_ns"], 1e-3), residual=residual("changed_entry_processor_ns"))
-    add("S6", "a changed entry at 110,000 leaf servers to one at 300", "ratio", scale, "control",
-        lambda r: ratio(r, "leaf servers", "changed_entry_processor_ns", LEAVES, 300))
-    add("S7", "bytes of an entry as JSON", "B", scale, "lists", at(["list_bytes"], 1 / LEAVES),
-        residual=residual("list_bytes"))
-    add("S8", "processor time of a whole list, read and taken", "ms", scale, "lists, reload",
-        at(["parse_processor_ns", "take_processor_ns"], 1e-6), residual=residual("take_processor_ns"))
-    add("S9", "resident memory of the list of 110,000", "MB", scale, "control", at(["resident_bytes"], 1e-6),
-        residual=residual("resident_bytes"))
-    add("S10", "the most held meanwhile, program and reading included", "MB", scale, "control",
-        at(["peak_resident_bytes"], 1e-6))
-    add("S11", "resident memory of a connection to a leaf server", "KB", scale, "mixer",
-        slope("resident_bytes", 1e-3, "connections"), residual=residual("resident_bytes", "connections"))
-    add("S12", "resident memory of an open query of 69 parts", "KB", scale, "mixer",
-        slope("resident_bytes", 1e-3, "open queries"), residual=residual("resident_bytes", "open queries"))
-    hollow_run = "hollow mixers, `make scale`"
-    both = (hollow, hollow_before)
-    add("S13", "processor time of a query of 69 parts over sockets, one real mixer", "us", hollow_run, "mixer",
-        lambda r: None, both)
-    add("S14", "a change at discovery until in force at the last mixer, p99", "ms", hollow_run, "3 s",
-        lambda r: None, both)
-    add("S15", "processor time at discovery of one change to one mixer", "us", hollow_run, "discovery",
-        lambda r: None, both)
-    add("S16", "all mixers come back: until the last has its list", "ms", hollow_run, "discovery",
-        lambda r: None, both)
+    for key, what, unit, read, kind, used in LINES:
+        before, now = [read(report) if report else None for report in reports[kind]]
+        slopes[key] = Slope(key, what, unit, before, now, RUNS[kind], used)
     return slopes
+
+
+def machines(folder=HERE):
+    """The machine and commit of each report that is there, by file name."""
+    found = {}
+    for name in (name for names in REPORTS.values() for name in names):
+        if (folder / name).exists():
+            found[name] = json.loads((folder / name).read_text())["machine"]
+    return found
