Name units in the capacity page's verdicts, and rank reloads by their processor time

Cause: figures without units, and reloads ranked by bytes alone. Change: units in each, reloads ranked by processor time.

--- a/docs/capacity/arithmetic.py
+++ b/docs/capacity/arithmetic.py
@@ -108,6 +108,10 @@
     return f"{number(x)} B"
 
 
+def of(x, unit):
+    return NOT_KNOWN if x is None else f"{number(x)} {unit}"
+
+
 def verdict(need, budget):
     if need is None:
         return f"**{NOT_KNOWN}**"
@@ -247,7 +251,7 @@
         budget = CONTROL_BYTES * within
         taken = times(total, 1 / CONTROL_BYTES)
         rows.append([what, number(entries), as_bytes(total), as_bytes(times(total, MIXERS)),
-                     f"{number(taken)} s" if taken is not None else NOT_KNOWN,
+                     of(taken, "s"),
                      "" if total is None else f"{number(total / budget)} x", f"{number(budget / entries)} B",
                      verdict(total, budget)])
     return table(["event", "entries", "a mixer", "all mixers", "at 24 KB/s", "of the budget",
@@ -293,11 +297,11 @@
         ["after an hour apart", "", ""],
         ["leaf servers of other regions restarted or replaced", number(hour * others), "38,000 / 24 x 4/5"],
         ["entries that differ at the return", f"{number(stale)}, {as_bytes(total)} a mixer",
-         f"old gone, new up; {number(times(total, 1 / CONTROL_BYTES))} s at 24 KB/s"],
+         f"old gone, new up; {of(times(total, 1 / CONTROL_BYTES), 's')} at 24 KB/s"],
         ["configuration changes made meanwhile", number(CONFIG_DAY / 24), "17,000 / 24"],
         ["usage log held by a mixer whose settlement is away", as_bytes(log), "467 x 39.1 B x 3,600; `keep` is 1 GiB"],
         ["if discovery removes what it cannot reach", f"{number(lost)} entries, {as_bytes(size(lost))} a mixer",
-         f"and as many at the return; {number(times(size(lost), 1 / CONTROL_BYTES))} s each at 24 KB/s"],
+         f"and as many at the return; {of(times(size(lost), 1 / CONTROL_BYTES), 's')} each at 24 KB/s"],
         ["probes once a tenth is suspected, each mixer", f"{number(PROBES)} every {FADE * TARGET_S * 1e3:.0f} ms",
          "`probe_round`: every ready leaf server not met for one target"],
         ["connections looked at for them", f"{number(PROBES * LINKS / 1e6)} million each time",
@@ -311,7 +315,7 @@
         ["each of 26 machines", "", "formula"],
         ["watches", number(each), "4,500 / 26"],
         ["signs of life, one in 2 s", f"{number(each / SIGN_OF_LIFE_S)} /s", ""],
-        ["changed entries delivered", f"{number(ENTRY_RATE * each)} /s, {as_bytes(times(ENTRY_RATE * each, ENTRY))}/s",
+        ["changed entries delivered, a second", f"{number(ENTRY_RATE * each)}, {as_bytes(times(ENTRY_RATE * each, ENTRY))}",
          "x entries a second, x S9"],
         ["configuration deliveries", f"{number(CONFIG_RATE * each)} /s", ""],
         ["all that 24 KB/s a mixer allows", f"{as_bytes(CONTROL_BYTES * each)}/s", "24 KB x 173"],
@@ -349,10 +353,10 @@
     share = lambda x: NOT_KNOWN if x is None else f"{x:.2%} of a core"
     rows = [
         ["**Mixer**, queries, reducer and decisions alone",
-         f"{number(cores)} cores (S1); {number(standing)} with standing connections (S2)", "1 core, all included",
+         f"{of(cores, 'cores a mixer')} (S1); {of(standing, 'cores')} with standing connections (S2)", "1 core, all included",
          verdict(cores, 1.0), "inverted index of replicas by shard",
          "`crates/decisions`; see S3 to S5"],
-        ["with sockets and parsing", f"{number(sockets)} cores (S16)", "1 core", verdict(sockets, 1.0),
+        ["with sockets and parsing", f"{of(sockets, 'cores')} (S16)", "1 core", verdict(sockets, 1.0),
          "event loop, one thread", "`mixer/src/transport`"],
         ["69 ms at p99", f"leaf servers' p{100 * (1 - LATE_SHARE):.3f}", "69 ms less the mixer's share",
          verdict(None, 0), "hedged requests with a cap", "`push_on`, `copies_left` in `choice.rs`"],
@@ -363,15 +367,15 @@
         ["what it knows of a leaf server", f"{1 / PAIR_RATE:.1f} s old", f"fades in {FADE * TARGET_S:.3f} s",
          verdict(1 / PAIR_RATE, FADE * TARGET_S), "subsetting; power of two choices on reported load",
          "missing; reports are read (`state/links.rs`) and not used"],
-        ["memory for its work", "" + (f"{number(work)} MB (S14, S15, buffers)" if work else NOT_KNOWN), "not told",
+        ["memory for its work", f"{of(work, 'MB')} (S14, S15, buffers)", "not told",
          verdict(None, 0), "buffer pool", "`transport/pool.rs`"],
         ["**Mixer**, control: changes", share(changes) + " (S6)", "1.5%", verdict(changes, CONTROL_CORE),
          "delta encoding, applied by entry", "`routing/replicas.rs`"],
         ["whole list at each reload", share(read) + " (S11)", "1.5%", verdict(read, CONTROL_CORE),
          "delta encoding from a version", "missing: `reloaded` asks an agent for all"],
-        ["memory of the list", f"{number(memory)} MB at most (S13)", "128 MB",
+        ["memory of the list", f"{of(memory, 'MB')} at most (S13)", "128 MB",
          verdict(memory, CONTROL_MB), "interned names, compact records", "`routing/replicas.rs`"],
-        ["bytes, ordinary day", f"{as_bytes(size(ENTRY_RATE))}/s", "24 KB/s", verdict(size(ENTRY_RATE), CONTROL_BYTES),
+        ["bytes, ordinary day", f"{as_bytes(size(ENTRY_RATE))} a second", "24 KB", verdict(size(ENTRY_RATE), CONTROL_BYTES),
          "delta encoding", "protocol's watch, `transport/watch.rs`"],
         ["bytes, a zone at once", f"{as_bytes(zone)} in 3 s", "72 KB", verdict(zone, CONTROL_BYTES * IN_FORCE_S),
          "one record for a failure domain, or compact deltas", "missing"],
@@ -387,7 +391,7 @@
          verdict(PROBES, LINKS), "probe budget, outlier ejection", "missing: `probe_round` has no bound"],
         ["**Discovery**: fan-out", f"{number(MIXERS / CONTROL_MACHINES)} watches a machine", "26 machines",
          verdict(None, 0), "push over long-lived streams", "the platform's agents; a stand-in by S18, S19"],
-        ["a change in force, watch alive", f"{number(in_force)} s (S17)", "3 s", verdict(in_force, IN_FORCE_S),
+        ["a change in force, watch alive", f"{of(in_force, 's')} (S17)", "3 s", verdict(in_force, IN_FORCE_S),
          "push, consistent prefix",
          "`transport/watch.rs`, `index` of the list"],
         ["a change in force, watch dead", f"over {SILENT_S:g} s", "3 s", "**does not fit**", "heartbeat and lease",
@@ -411,14 +415,14 @@
     zone = times(size(LEAVES / ZONES), 1 / (CONTROL_BYTES * IN_FORCE_S))
     read = times(CONFIG_RATE, S["S11"].value, 1e-3, 1 / CONTROL_CORE)
     least = LEAVES / COPIES[0]
-    listed = times(CONFIG_RATE, size(LEAVES), 1 / CONTROL_BYTES)
+    listed = times(CONFIG_RATE, size(LEAVES))
     work = [
-        (cores, "index of replicas by shard, lists applied by their changes", f"{number(cores)} cores a mixer (S1)"),
+        (cores, "index of replicas by shard, lists applied by their changes", f"{of(cores, 'cores a mixer')} (S1)"),
         (least / LINKS, "deterministic subsetting; P has to be told", f"{number(least)} connections for one holder of "
          f"each shard at P = {COPIES[0]}, {LINKS} allowed"),
-        (listed, "versioned configuration by the watch: no whole list at a reload, settings live",
-         f"{as_bytes(times(CONFIG_RATE, size(LEAVES)))}/s of lists at 17,000 reloads a day, 24 KB/s allowed; "
-         f"{number(read)} times the processor time (S11)"),
+        (read, "versioned configuration by the watch: no whole list at a reload, all keys live",
+         f"S11 at 17,000 reloads a day is {of(read, 'times')} the 1.5% of a core, with {as_bytes(listed)} a second from "
+         "the agent"),
         (zone, "one record for a failure domain, or compact deltas", f"{as_bytes(size(LEAVES / ZONES))} for a zone in "
          "3 s, 72 KB allowed"),
         (PROBES / LINKS, "probe budget; no connection of our own is not silence of theirs; regions known to the mixer",
