--- a/docs/capacity/arithmetic.py
+++ b/docs/capacity/arithmetic.py
@@ -74,6 +74,7 @@
 LINKS = min((DESCRIPTORS - OWN - CLOSING) * LINK_SHARE // (LINK_SHARE + CLIENT_SHARE), DESCRIPTORS * LINK_SHARE // 100)
 CLIENTS = min(DESCRIPTORS - OWN - CLOSING - LINKS, DESCRIPTORS * CLIENT_SHARE // 100)
 ENTRY = S["S9"].value
+FADE_S = FADE * TARGET_S
 PROBES = LEAVES - PART_RATE * TARGET_S  # of one round: all leaf servers but those met within the last target
 LATE_SHARE = 1 - WITHIN ** (1 / PARTS)
 LOG_RECORD, INGEST_CORE, LOG_CPU = 39.1, 500e3, (1.08, 1.20)  # docs/design/ledger.md, `make bench-ledger`, a83beea
@@ -112,6 +113,15 @@
     return NOT_KNOWN if x is None else f"{number(x)} {unit}"
 
 
+def share_of_core(x):
+    return NOT_KNOWN if x is None else f"{x:.2%} of a core"
+
+
+def reload_share():
+    """Share of a core that whole lists take if each change of configuration is a reload."""
+    return times(CONFIG_RATE, S["S11"].value, 1e-3)
+
+
 def verdict(need, budget):
     if need is None:
         return f"**{NOT_KNOWN}**"
@@ -259,13 +269,12 @@
 
 
 def freshness():
-    fade = FADE * TARGET_S
     rows = []
     for what, count in (("full mesh", LEAVES), ("own region", LEAVES / REGIONS), ("own zone", LEAVES / ZONES),
                         (f"subset of {LINKS}", LINKS)):
         rate = PART_RATE / count
         rows.append([what, number(count), f"{number(rate)} /s", f"{number(1e3 / rate)} ms",
-                     f"{math.exp(-1 / rate / fade):.4f}"])
+                     f"{math.exp(-1 / rate / FADE_S):.4f}"])
     return table(["mixer meets", "leaf servers", "parts a pair", "age at the next part",
                   "weight left of what was learned"], *rows)
 
@@ -302,7 +311,7 @@
         ["usage log held by a mixer whose settlement is away", as_bytes(log), "467 x 39.1 B x 3,600; `keep` is 1 GiB"],
         ["if discovery removes what it cannot reach", f"{number(lost)} entries, {as_bytes(size(lost))} a mixer",
          f"and as many at the return; {of(times(size(lost), 1 / CONTROL_BYTES), 's')} each at 24 KB/s"],
-        ["probes once a tenth is suspected, each mixer", f"{number(PROBES)} every {FADE * TARGET_S * 1e3:.0f} ms",
+        ["probes once a tenth is suspected, each mixer", f"{number(PROBES)} every {FADE_S * 1e3:.0f} ms",
          "`probe_round`: every ready leaf server not met for one target"],
         ["connections looked at for them", f"{number(PROBES * LINKS / 1e6)} million each time",
          f"`evict` walks {LINKS} for each; {LINKS} probes at most go out and take all connections"],
@@ -315,8 +324,8 @@
         ["each of 26 machines", "", "formula"],
         ["watches", number(each), "4,500 / 26"],
         ["signs of life, one in 2 s", f"{number(each / SIGN_OF_LIFE_S)} /s", ""],
-        ["changed entries delivered, a second", f"{number(ENTRY_RATE * each)}, {as_bytes(times(ENTRY_RATE * each, ENTRY))}",
-         "x entries a second, x S9"],
+        ["changed entries delivered, a second",
+         f"{number(ENTRY_RATE * each)}, {as_bytes(size(ENTRY_RATE * each))}", "x entries a second, x S9"],
         ["configuration deliveries", f"{number(CONFIG_RATE * each)} /s", ""],
         ["all that 24 KB/s a mixer allows", f"{as_bytes(CONTROL_BYTES * each)}/s", "24 KB x 173"],
         ["whole lists to all its mixers", as_bytes(times(size(LEAVES), each)), "110,000 x S9 x 173"],
@@ -342,64 +351,78 @@
 
 # ---- Verdicts and the order of work ----------------------------------------------------------------------------------
 
-def verdicts():
-    cores, standing = (times(QUERY_RATE, S[key].value, 1e-6) for key in ("S1", "S2"))
-    sockets = times(QUERY_RATE, S["S16"].value, 1e-6)
-    changes, read = times(ENTRY_RATE, S["S6"].value, 1e-6), times(CONFIG_RATE, S["S11"].value, 1e-3)
-    memory, in_force = S["S13"].value, times(S["S17"].value, 1e-3)
-    work = None if None in (S["S14"].value, S["S15"].value) else (
-        (S["S14"].value + BUFFERS / 1e3) * (LINKS + CLIENTS) + S["S15"].value * QUERY_RATE * TARGET_S) / 1e3
-    zone = size(LEAVES / ZONES)
-    share = lambda x: NOT_KNOWN if x is None else f"{x:.2%} of a core"
-    rows = [
-        ["**Mixer**, queries, reducer and decisions alone",
-         f"{of(cores, 'cores a mixer')} (S1); {of(standing, 'cores')} with standing connections (S2)", "1 core, all included",
-         verdict(cores, 1.0), "inverted index of replicas by shard",
-         "`crates/decisions`; see S3 to S5"],
+def query_rows():
+    cores, standing, sockets = (times(QUERY_RATE, S[key].value, 1e-6) for key in ("S1", "S2", "S16"))
+    open_parts = QUERY_RATE * TARGET_S * (1 + PARTS)
+    connection, query = S["S14"].value, S["S15"].value
+    memory = None if None in (connection, query) else (
+        (connection + BUFFERS / 1e3) * (LINKS + CLIENTS) + query * QUERY_RATE * TARGET_S) / 1e3
+    need = f"{of(cores, 'cores a mixer')} (S1); {of(standing, 'cores')} with standing connections (S2)"
+    return [
+        ["**Mixer**, queries, reducer and decisions alone", need, "1 core, all included", verdict(cores, 1.0),
+         "inverted index of replicas by shard", "`crates/decisions`; see S3 to S5"],
         ["with sockets and parsing", f"{of(sockets, 'cores')} (S16)", "1 core", verdict(sockets, 1.0),
          "event loop, one thread", "`mixer/src/transport`"],
         ["69 ms at p99", f"leaf servers' p{100 * (1 - LATE_SHARE):.3f}", "69 ms less the mixer's share",
          verdict(None, 0), "hedged requests with a cap", "`push_on`, `copies_left` in `choice.rs`"],
-        ["open queries and parts", number(QUERY_RATE * TARGET_S + PART_RATE * TARGET_S), f"{OPEN_CAP:,} (`open_cap`)",
-         verdict(QUERY_RATE * TARGET_S * (1 + PARTS), OPEN_CAP), "admission control", "`state/clients.rs`"],
+        ["open queries and parts", number(open_parts), f"{OPEN_CAP:,} (`open_cap`)", verdict(open_parts, OPEN_CAP),
+         "admission control", "`state/clients.rs`"],
         ["connections to leaf servers", f"{number(LEAVES)} (full mesh)", number(LINKS), verdict(LEAVES, LINKS),
          "deterministic subsetting, or a tree of aggregators", "missing; `evict` closes the longest idle"],
-        ["what it knows of a leaf server", f"{1 / PAIR_RATE:.1f} s old", f"fades in {FADE * TARGET_S:.3f} s",
-         verdict(1 / PAIR_RATE, FADE * TARGET_S), "subsetting; power of two choices on reported load",
+        ["what it knows of a leaf server", f"{1 / PAIR_RATE:.1f} s old", f"fades in {FADE_S:.3f} s",
+         verdict(1 / PAIR_RATE, FADE_S), "subsetting; power of two choices on reported load",
          "missing; reports are read (`state/links.rs`) and not used"],
-        ["memory for its work", f"{of(work, 'MB')} (S14, S15, buffers)", "not told",
-         verdict(None, 0), "buffer pool", "`transport/pool.rs`"],
-        ["**Mixer**, control: changes", share(changes) + " (S6)", "1.5%", verdict(changes, CONTROL_CORE),
-         "delta encoding, applied by entry", "`routing/replicas.rs`"],
-        ["whole list at each reload", share(read) + " (S11)", "1.5%", verdict(read, CONTROL_CORE),
+        ["memory for its work", f"{of(memory, 'MB')} (S14, S15, buffers)", "not told", verdict(None, 0),
+         "buffer pool", "`transport/pool.rs`"],
+    ]
+
+
+def control_rows():
+    changes, reloads = (share_of_core(x) for x in (times(ENTRY_RATE, S["S6"].value, 1e-6), reload_share()))
+    ordinary, zone, memory = size(ENTRY_RATE), size(LEAVES / ZONES), S["S13"].value
+    return [
+        ["**Mixer**, control: changes", f"{changes} (S6)", "1.5%",
+         verdict(times(ENTRY_RATE, S["S6"].value, 1e-6), CONTROL_CORE), "delta encoding, applied by entry",
+         "`routing/replicas.rs`"],
+        ["whole list at each reload", f"{reloads} (S11)", "1.5%", verdict(reload_share(), CONTROL_CORE),
          "delta encoding from a version", "missing: `reloaded` asks an agent for all"],
-        ["memory of the list", f"{of(memory, 'MB')} at most (S13)", "128 MB",
-         verdict(memory, CONTROL_MB), "interned names, compact records", "`routing/replicas.rs`"],
-        ["bytes, ordinary day", f"{as_bytes(size(ENTRY_RATE))} a second", "24 KB", verdict(size(ENTRY_RATE), CONTROL_BYTES),
+        ["memory of the list", f"{of(memory, 'MB')} at most (S13)", "128 MB", verdict(memory, CONTROL_MB),
+         "interned names, compact records", "`routing/replicas.rs`"],
+        ["bytes, ordinary day", f"{as_bytes(ordinary)} a second", "24 KB", verdict(ordinary, CONTROL_BYTES),
          "delta encoding", "protocol's watch, `transport/watch.rs`"],
         ["bytes, a zone at once", f"{as_bytes(zone)} in 3 s", "72 KB", verdict(zone, CONTROL_BYTES * IN_FORCE_S),
          "one record for a failure domain, or compact deltas", "missing"],
+    ]
+
+
+def leaf_rows():
+    return [
         ["**Leaf server**: parts", f"{number(LEAF_RATE)} /s, to {number(LEAF_RATE * (1 + HEDGE_CAP))} with copies",
          "not told", verdict(None, 0), "load shedding by refusal, retry budget",
          "`hopeless`, `budget_left` in `choice.rs`"],
         ["connections", f"{number(MIXERS)} (full mesh)", "not told", verdict(None, 0), "deterministic subsetting",
          "missing"],
-        ["cold start", "one part in 4 to 5 mixers, by chance", "N + 2 root(N) + 2", "**fits** by arithmetic below full "
-         "load; tested to 300 mixers", "slow start, randomised rounding",
+        ["cold start", "one part in 4 to 5 mixers, by chance", "N + 2 root(N) + 2",
+         "**fits** by arithmetic below full load; tested to 300 mixers", "slow start, randomised rounding",
          "`cold_room`, `take_turns`; wrong with subsetting"],
         ["probes, a tenth suspected", f"{number(PROBES)} a mixer at once", f"{LINKS} connections",
          verdict(PROBES, LINKS), "probe budget, outlier ejection", "missing: `probe_round` has no bound"],
+    ]
+
+
+def shared_rows():
+    in_force = times(S["S17"].value, 1e-3)
+    return [
         ["**Discovery**: fan-out", f"{number(MIXERS / CONTROL_MACHINES)} watches a machine", "26 machines",
          verdict(None, 0), "push over long-lived streams", "the platform's agents; a stand-in by S18, S19"],
         ["a change in force, watch alive", f"{of(in_force, 's')} (S17)", "3 s", verdict(in_force, IN_FORCE_S),
-         "push, consistent prefix",
-         "`transport/watch.rs`, `index` of the list"],
+         "push, consistent prefix", "`transport/watch.rs`, `index` of the list"],
         ["a change in force, watch dead", f"over {SILENT_S:g} s", "3 s", "**does not fit**", "heartbeat and lease",
          "`routing/watching.rs`; sign of life too rare"],
         ["**Configuration** in force", "discovery and peers; all else at a restart", "all, in 3 s", "**does not fit**",
          "versioned configuration by the same watch", "missing; SIGHUP and files today"],
         ["**Ledger**: settlement", f"{number(QUERIES)} records /s", f"{number(INGEST_CORE)} /s, one process",
-         verdict(QUERIES, INGEST_CORE), "partitioning by region or tenant, pruning", "missing"],
+         verdict(QUERIES, INGEST_CORE), "partitioning by tenant, pruning", "missing"],
         ["at the mixer", f"{LOG_CPU[0]} to {LOG_CPU[1]:.2f} of the time without", "1.05 (its own aim)",
          verdict(LOG_CPU[0], 1.05), "group commit in a writer thread", "`ledger/src/writer.rs`"],
         ["**Rollout** of mixers", "10 steps of 450", "not told", verdict(None, 0), "graceful drain, rolling restart",
@@ -407,13 +430,17 @@
         ["bad versions and configurations", "all mixers at once", "a few first", "**does not fit**",
          "canary, automatic roll-back", "missing"],
     ]
+
+
+def verdicts():
+    rows = query_rows() + control_rows() + leaf_rows() + shared_rows()
     return table(["role and budget", "need at the target", "budget", "verdict", "mechanism", "where"], *rows)
 
 
 def order():
     cores = times(QUERY_RATE, S["S1"].value, 1e-6)
     zone = times(size(LEAVES / ZONES), 1 / (CONTROL_BYTES * IN_FORCE_S))
-    read = times(CONFIG_RATE, S["S11"].value, 1e-3, 1 / CONTROL_CORE)
+    read = times(reload_share(), 1 / CONTROL_CORE)
     least = LEAVES / COPIES[0]
     listed = times(CONFIG_RATE, size(LEAVES))
     work = [
@@ -421,14 +448,14 @@
         (least / LINKS, "deterministic subsetting; P has to be told", f"{number(least)} connections for one holder of "
          f"each shard at P = {COPIES[0]}, {LINKS} allowed"),
         (read, "versioned configuration by the watch: no whole list at a reload, all keys live",
-         f"S11 at 17,000 reloads a day is {of(read, 'times')} the 1.5% of a core, with {as_bytes(listed)} a second from "
-         "the agent"),
+         f"S11 at 17,000 reloads a day is {of(read, 'times')} the 1.5% of a core, and {as_bytes(listed)} a second "
+         "from the agent"),
         (zone, "one record for a failure domain, or compact deltas", f"{as_bytes(size(LEAVES / ZONES))} for a zone in "
          "3 s, 72 KB allowed"),
         (PROBES / LINKS, "probe budget; no connection of our own is not silence of theirs; regions known to the mixer",
-         f"{number(PROBES)} probes a mixer every {FADE * TARGET_S * 1e3:.0f} ms once a tenth is suspected"),
-        (1 / PAIR_RATE / (FADE * TARGET_S), "load reports used, power of two choices (after subsetting)",
-         f"{1 / PAIR_RATE:.1f} s between two parts of a pair, what was learned fades in {FADE * TARGET_S:.3f} s"),
+         f"{number(PROBES)} probes a mixer every {FADE_S * 1e3:.0f} ms once a tenth is suspected"),
+        (1 / PAIR_RATE / FADE_S, "load reports used, power of two choices (after subsetting)",
+         f"{1 / PAIR_RATE:.1f} s between two parts of a pair, what was learned fades in {FADE_S:.3f} s"),
         (QUERIES / INGEST_CORE, "ledger partitioned, its store pruned", f"{number(QUERIES)} records /s, "
          f"{number(INGEST_CORE)} a process"),
         ((SILENT_S + TRY_S) / IN_FORCE_S, "sign of life every 0.5 s, lease of 1.5 s",
