--- a/docs/capacity/arithmetic.py
+++ b/docs/capacity/arithmetic.py
@@ -73,7 +73,7 @@
 CONFIG_RATE = CONFIG_DAY / DAY_S
 LINKS = min((DESCRIPTORS - OWN - CLOSING) * LINK_SHARE // (LINK_SHARE + CLIENT_SHARE), DESCRIPTORS * LINK_SHARE // 100)
 CLIENTS = min(DESCRIPTORS - OWN - CLOSING - LINKS, DESCRIPTORS * CLIENT_SHARE // 100)
-ENTRY = S["S9"].value
+ENTRY = S["S10"].value
 FADE_S = FADE * TARGET_S
 PROBES = LEAVES - PART_RATE * TARGET_S  # of one round: all leaf servers but those met within the last target
 LATE_SHARE = 1 - WITHIN ** (1 / PARTS)
@@ -119,7 +119,7 @@
 
 def reload_share():
     """Share of a core that whole lists take if each change of configuration is a reload."""
-    return times(CONFIG_RATE, S["S11"].value, 1e-3)
+    return times(CONFIG_RATE, S["S12"].value, 1e-3)
 
 
 def verdict(need, budget):
@@ -177,8 +177,9 @@
 
 def runs():
     rows = [[f"`{name}`", m["began"], m["commit"], f"{m['cores']} cores, {m['memory_bytes'] / 1e9:.0f} GB",
-             m["build"]] for name, m in machines().items()]
-    return table(["report", "began", "commit", "machine", "build"], *rows) if rows else "No report yet."
+             m["build"], load] for name, (m, load) in machines().items()]
+    head = ["report", "began", "commit", "machine", "build", "load average before and after"]
+    return table(head, *rows) if rows else "No report yet."
 
 
 def tail():
@@ -243,12 +244,12 @@
         groups, instances = math.ceil(leaves / LINKS), math.ceil(mixers / CLIENTS)
         count = groups * instances * scopes
         rate = QUERIES * PARTS / count
-        cores = times(rate, S["S2"].value, 1e-6 / PARTS)
+        cores = times(rate, S["S3"].value, 1e-6 / PARTS)
         rows.append([scope, groups, instances, number(count), groups, f"{LINKS}, {math.ceil(mixers / instances)}",
                      instances, number(rate), number(cores)])
     return table(["leaf servers covered", "groups", "instances of each", "aggregators in all", "connections of a mixer",
                   "of an aggregator: leaf servers, mixers", "of a leaf server", "parts an aggregator /s",
-                  "its cores at S2 / 69"], *rows)
+                  "its cores at S3 / 69"], *rows)
 
 
 def lists():
@@ -325,10 +326,10 @@
         ["watches", number(each), "4,500 / 26"],
         ["signs of life, one in 2 s", f"{number(each / SIGN_OF_LIFE_S)} /s", ""],
         ["changed entries delivered, a second",
-         f"{number(ENTRY_RATE * each)}, {as_bytes(size(ENTRY_RATE * each))}", "x entries a second, x S9"],
+         f"{number(ENTRY_RATE * each)}, {as_bytes(size(ENTRY_RATE * each))}", "x entries a second, x S10"],
         ["configuration deliveries", f"{number(CONFIG_RATE * each)} /s", ""],
         ["all that 24 KB/s a mixer allows", f"{as_bytes(CONTROL_BYTES * each)}/s", "24 KB x 173"],
-        ["whole lists to all its mixers", as_bytes(times(size(LEAVES), each)), "110,000 x S9 x 173"],
+        ["whole lists to all its mixers", as_bytes(times(size(LEAVES), each)), "110,000 x S10 x 173"],
     )
 
 
@@ -352,16 +353,16 @@
 # ---- Verdicts and the order of work ----------------------------------------------------------------------------------
 
 def query_rows():
-    cores, standing, sockets = (times(QUERY_RATE, S[key].value, 1e-6) for key in ("S1", "S2", "S16"))
+    cores, standing, sockets = (times(QUERY_RATE, S[key].value, 1e-6) for key in ("S1", "S2", "S17"))
     open_parts = QUERY_RATE * TARGET_S * (1 + PARTS)
-    connection, query = S["S14"].value, S["S15"].value
+    connection, query = S["S15"].value, S["S16"].value
     memory = None if None in (connection, query) else (
         (connection + BUFFERS / 1e3) * (LINKS + CLIENTS) + query * QUERY_RATE * TARGET_S) / 1e3
     need = f"{of(cores, 'cores a mixer')} (S1); {of(standing, 'cores')} with standing connections (S2)"
     return [
         ["**Mixer**, queries, reducer and decisions alone", need, "1 core, all included", verdict(cores, 1.0),
-         "inverted index of replicas by shard", "`crates/decisions`; see S3 to S5"],
-        ["with sockets and parsing", f"{of(sockets, 'cores')} (S16)", "1 core", verdict(sockets, 1.0),
+         "inverted index of replicas by shard", "`crates/decisions`; see S4 to S6"],
+        ["with sockets and parsing", f"{of(sockets, 'cores')} (S17)", "1 core", verdict(sockets, 1.0),
          "event loop, one thread", "`mixer/src/transport`"],
         ["69 ms at p99", f"leaf servers' p{100 * (1 - LATE_SHARE):.3f}", "69 ms less the mixer's share",
          verdict(None, 0), "hedged requests with a cap", "`push_on`, `copies_left` in `choice.rs`"],
@@ -372,21 +373,24 @@
         ["what it knows of a leaf server", f"{1 / PAIR_RATE:.1f} s old", f"fades in {FADE_S:.3f} s",
          verdict(1 / PAIR_RATE, FADE_S), "subsetting; power of two choices on reported load",
          "missing; reports are read (`state/links.rs`) and not used"],
-        ["memory for its work", f"{of(memory, 'MB')} (S14, S15, buffers)", "not told", verdict(None, 0),
+        ["memory for its work", f"{of(memory, 'MB')} (S15, S16, buffers)", "not told", verdict(None, 0),
          "buffer pool", "`transport/pool.rs`"],
     ]
 
 
 def control_rows():
-    changes, reloads = (share_of_core(x) for x in (times(ENTRY_RATE, S["S6"].value, 1e-6), reload_share()))
-    ordinary, zone, memory = size(ENTRY_RATE), size(LEAVES / ZONES), S["S13"].value
+    changes, reloads = (share_of_core(x) for x in (times(ENTRY_RATE, S["S7"].value, 1e-6), reload_share()))
+    sockets = share_of_core(times(S["S25"].value, 1e-2))
+    ordinary, zone, memory = size(ENTRY_RATE), size(LEAVES / ZONES), S["S14"].value
     return [
-        ["**Mixer**, control: changes", f"{changes} (S6)", "1.5%",
-         verdict(times(ENTRY_RATE, S["S6"].value, 1e-6), CONTROL_CORE), "delta encoding, applied by entry",
+        ["**Mixer**, control: changes", f"{changes} (S7)", "1.5%",
+         verdict(times(ENTRY_RATE, S["S7"].value, 1e-6), CONTROL_CORE), "delta encoding, applied by entry",
          "`routing/replicas.rs`"],
-        ["whole list at each reload", f"{reloads} (S11)", "1.5%", verdict(reload_share(), CONTROL_CORE),
+        ["the same over sockets, signs of life included", f"{sockets} (S25)", "1.5%",
+         verdict(times(S["S25"].value, 1e-2), CONTROL_CORE), "one watch, one thread", "`transport/watch.rs`"],
+        ["whole list at each reload", f"{reloads} (S12)", "1.5%", verdict(reload_share(), CONTROL_CORE),
          "delta encoding from a version", "missing: `reloaded` asks an agent for all"],
-        ["memory of the list", f"{of(memory, 'MB')} at most (S13)", "128 MB", verdict(memory, CONTROL_MB),
+        ["memory of the list", f"{of(memory, 'MB')} at most (S14)", "128 MB", verdict(memory, CONTROL_MB),
          "interned names, compact records", "`routing/replicas.rs`"],
         ["bytes, ordinary day", f"{as_bytes(ordinary)} a second", "24 KB", verdict(ordinary, CONTROL_BYTES),
          "delta encoding", "protocol's watch, `transport/watch.rs`"],
@@ -411,13 +415,20 @@
 
 
 def shared_rows():
-    in_force = times(S["S17"].value, 1e-3)
+    delivered, taken, zone = S["S18"].value, S["S7"].value, times(S["S27"].value, 1e-3)
+    in_force = None if None in (delivered, taken) else delivered / 1e3 + taken / 1e6
+    fan_out = times(ENTRY_RATE * MIXERS / CONTROL_MACHINES, S["S19"].value, 1e-6)
+    pushed, asked = (times(S[key].value, 1e-3) for key in ("S22", "S23"))
     return [
-        ["**Discovery**: fan-out", f"{number(MIXERS / CONTROL_MACHINES)} watches a machine", "26 machines",
-         verdict(None, 0), "push over long-lived streams", "the platform's agents; a stand-in by S18, S19"],
-        ["a change in force, watch alive", f"{of(in_force, 's')} (S17)", "3 s", verdict(in_force, IN_FORCE_S),
+        ["**Discovery**: changes of an ordinary day to 173 mixers", f"{share_of_core(fan_out)} a machine (S19)",
+         "1 core (26 machines)", verdict(fan_out, 1.0) + " for the stand-in", "push over long-lived streams",
+         "the platform's agents; `crates/standins/src/discovery`"],
+        ["a change in force, watch alive", f"{of(in_force, 's')} (S18 + S7)", "3 s", verdict(in_force, IN_FORCE_S),
          "push, consistent prefix", "`transport/watch.rs`, `index` of the list"],
-        ["a change in force, watch dead", f"over {SILENT_S:g} s", "3 s", "**does not fit**", "heartbeat and lease",
+        ["a zone in force, watch alive, without the bound on bytes", f"{of(zone, 's')} (S27)", "3 s",
+         verdict(zone, IN_FORCE_S), "the same", "the same"],
+        ["a change in force, watch dead", f"{of(pushed, 's')} pushed, {of(asked, 's')} asked (S22, S23); over "
+         f"{SILENT_S:g} s at the worst moment", "3 s", "**does not fit**", "heartbeat and lease",
          "`routing/watching.rs`; sign of life too rare"],
         ["**Configuration** in force", "discovery and peers; all else at a restart", "all, in 3 s", "**does not fit**",
          "versioned configuration by the same watch", "missing; SIGHUP and files today"],
@@ -438,36 +449,44 @@
 
 
 def order():
-    cores = times(QUERY_RATE, S["S1"].value, 1e-6)
-    zone = times(size(LEAVES / ZONES), 1 / (CONTROL_BYTES * IN_FORCE_S))
-    read = times(reload_share(), 1 / CONTROL_CORE)
-    least = LEAVES / COPIES[0]
-    listed = times(CONFIG_RATE, size(LEAVES))
+    cores, changes = times(QUERY_RATE, S["S1"].value, 1e-6), times(ENTRY_RATE, S["S7"].value, 1e-6)
+    reloads = times(reload_share(), 1 / CONTROL_CORE)
+    memory, zone = S["S14"].value, size(LEAVES / ZONES)
+    least, refused = LEAVES / COPIES[0], S["S14"].figure and S["S14"].figure.outcome == "refused"
+    listed = as_bytes(times(CONFIG_RATE, size(LEAVES)))
+    always, event, after = "always", "on an event", "with subsetting"
     work = [
-        (cores, "index of replicas by shard, lists applied by their changes", f"{of(cores, 'cores a mixer')} (S1)"),
-        (least / LINKS, "deterministic subsetting; P has to be told", f"{number(least)} connections for one holder of "
-         f"each shard at P = {COPIES[0]}, {LINKS} allowed"),
-        (read, "versioned configuration by the watch: no whole list at a reload, all keys live",
-         f"S11 at 17,000 reloads a day is {of(read, 'times')} the 1.5% of a core, and {as_bytes(listed)} a second "
-         "from the agent"),
-        (zone, "one record for a failure domain, or compact deltas", f"{as_bytes(size(LEAVES / ZONES))} for a zone in "
-         "3 s, 72 KB allowed"),
-        (PROBES / LINKS, "probe budget; no connection of our own is not silence of theirs; regions known to the mixer",
+        (always, cores, "index of replicas by shard, deadline queue", f"{of(cores, 'cores a mixer')} (S1)"),
+        (always, times(changes, 1 / CONTROL_CORE), "lists applied by their changes",
+         f"{share_of_core(changes)} for changes (S7), 1.5% allowed"),
+        (always, math.inf if refused else times(memory, 1 / CONTROL_MB), "whole list accepted, compact records",
+         f"{'refused; ' if refused else ''}{of(memory, 'MB')} with it (S14), {CONTROL_MB:g} MB for all control"),
+        (always, least / LINKS, "deterministic subsetting; P has to be told",
+         f"{number(least)} connections for one holder of each shard at P = {COPIES[0]}, {LINKS} allowed"),
+        (always, reloads, "versioned configuration by the watch: no whole list at a reload, all keys live",
+         f"17,000 reloads a day take {of(reloads, 'times')} the 1.5% (S12) and {listed} a second from the agent; other "
+         "keys wait for a restart"),
+        (always, QUERIES / INGEST_CORE, "ledger partitioned, its store pruned",
+         f"{number(QUERIES)} records /s, {number(INGEST_CORE)} a process"),
+        (event, PROBES / LINKS, "probe budget; no connection of our own is not silence of theirs; regions known",
          f"{number(PROBES)} probes a mixer every {FADE_S * 1e3:.0f} ms once a tenth is suspected"),
-        (1 / PAIR_RATE / FADE_S, "load reports used, power of two choices (after subsetting)",
-         f"{1 / PAIR_RATE:.1f} s between two parts of a pair, what was learned fades in {FADE_S:.3f} s"),
-        (QUERIES / INGEST_CORE, "ledger partitioned, its store pruned", f"{number(QUERIES)} records /s, "
-         f"{number(INGEST_CORE)} a process"),
-        ((SILENT_S + TRY_S) / IN_FORCE_S, "sign of life every 0.5 s, lease of 1.5 s",
-         f"a dead watch costs {SILENT_S:g} to {SILENT_S + TRY_S:g} s and more, 3 s allowed"),
-        (MIXERS / (MIXERS / ZONES), "slow start reckoned over the mixers that know the server (with subsetting)",
+        (event, times(zone, 1 / (CONTROL_BYTES * IN_FORCE_S)), "one record for a failure domain, or compact deltas",
+         f"{as_bytes(zone)} for a zone in 3 s, 72 KB allowed"),
+        (event, (SILENT_S + TRY_S) / IN_FORCE_S, "sign of life every 0.5 s, lease of 1.5 s",
+         f"a dead watch costs up to {SILENT_S:g} s and {TRY_S:g} s for the answer, 3 s allowed"),
+        (after, MIXERS / (MIXERS / ZONES), "slow start reckoned over the mixers that meet the server",
          "a cold server gets 7% of its allowance from the mixers of one zone"),
+        (after, 1 / PAIR_RATE / FADE_S, "load reports used, power of two choices",
+         f"{1 / PAIR_RATE:.1f} s between two parts of a pair without it, what was learned fades in {FADE_S:.3f} s"),
     ]
-    missing = [(factor, *rest) for factor, *rest in work if factor is None or factor > 1]
-    missing.sort(key=lambda item: -(math.inf if item[0] is None else item[0]))
-    rows = [[i + 1, what, figure, "" if factor is None else f"{number(factor)} x"]
-            for i, (factor, what, figure) in enumerate(missing)]
-    return table(["", "missing", "figure that shows it", "over its budget"], *rows)
+    missing = [item for item in work if item[1] is None or item[1] > 1]
+    missing.sort(key=lambda item: ((always, event, after).index(item[0]), -(item[1] or math.inf)))
+
+    def over(factor):
+        return "" if factor is None else "refused" if factor == math.inf else f"{number(factor)} x"
+
+    rows = [[i + 1, what, figure, over(factor), when] for i, (when, factor, what, figure) in enumerate(missing)]
+    return table(["", "missing", "figure that shows it", "over its budget", "when"], *rows)
 
 
 TABLES = {f.__name__.replace("_", "-"): f for f in (
--- a/docs/capacity/measured.py
+++ b/docs/capacity/measured.py
@@ -10,6 +10,8 @@
 REPORTS = {"scale": ("before.json", "scale.json"), "hollow": ("hollow-before.json", "hollow.json")}
 LEAVES, FEW_LEAVES = 110_000, 300
 MOST_OPEN, FEW_OPEN = 512, 8
+MIXERS, FEW_MIXERS = 4_500, 10
+DAYS_CHANGES = 1.8  # a second; the page's upper bound for an ordinary day is 1.76
 
 
 class Figure(NamedTuple):
@@ -84,6 +86,33 @@
     return read
 
 
+def hollow(mixers, entries, way, *path, scale=1.0, over=None):
+    """Reads a value of the hollow runs at one size; `over` is the path of what it is divided by."""
+    def value(found, path):
+        for name in path:
+            found = found and found.get(name)
+        return found
+
+    def read(report):
+        for found in report["points"]:
+            if (found["mixers"], found["entries"], found["way"]) == (mixers, entries, way):
+                top, bottom = value(found, path), value(found, over) if over else 1
+                return Figure(top * scale / bottom, found["outcome"]) if top is not None and bottom else None
+        return None
+    return read
+
+
+def steady(mixers, entries, way, name):
+    """Reads a value of the hollow runs at about as many changes a second as an ordinary day has."""
+    def read(report):
+        for found in report["points"]:
+            if (found["mixers"], found["entries"], found["way"]) == (mixers, entries, way):
+                rates = [rate for rate in found["rates"] if rate["changes_per_second"] == DAYS_CHANGES]
+                return Figure(rates[0][name], found["outcome"]) if rates else None
+        return None
+    return read
+
+
 def missing(_report):
     return None
 
@@ -98,36 +127,56 @@
      point(QUERY, LEAVES, "query_processor_ns", scale=1e-3), "scale", "a query"),
     ("S2", "the same, the shards of 300 servers asked, so that connections stand", "us",
      point(SAME, LEAVES, "query_processor_ns", scale=1e-3), "scale", "a query, tree"),
-    ("S3", "a part at 110,000 leaf servers to one at 300, all shards asked", "ratio",
+    ("S3", "the same with only those 300 listed", "us",
+     point(SAME, FEW_LEAVES, "query_processor_ns", scale=1e-3), "scale", "a query, tree"),
+    ("S4", "a part at 110,000 leaf servers to one at 300, all shards asked", "ratio",
      ratio(QUERY, "part_processor_ns", LEAVES, FEW_LEAVES), "scale", "a query"),
-    ("S4", "the same, the same shards asked", "ratio",
+    ("S5", "the same, the same shards asked", "ratio",
      ratio(SAME, "part_processor_ns", LEAVES, FEW_LEAVES), "scale", "a query"),
-    ("S5", "a part with 512 queries open to one with 8", "ratio",
+    ("S6", "a part with 512 queries open to one with 8", "ratio",
      ratio(OPEN, "part_processor_ns", MOST_OPEN, FEW_OPEN), "scale", "a query"),
-    ("S6", "processor time of a change of one entry, 110,000 leaf servers", "us",
+    ("S7", "processor time of a change of one entry, 110,000 leaf servers", "us",
      point(ONE, LEAVES, "change_processor_ns", scale=1e-3), "scale", "control"),
-    ("S7", "a changed entry at 110,000 leaf servers to one at 300", "ratio",
+    ("S8", "a changed entry at 110,000 leaf servers to one at 300", "ratio",
      ratio(ONE, "changed_entry_processor_ns", LEAVES, FEW_LEAVES), "scale", "control"),
-    ("S8", "processor time of a zone's 7,333 entries in one message", "ms",
+    ("S9", "processor time of a zone's 7,333 entries in one message", "ms",
      point(ZONE, LEAVES, "change_processor_ns", scale=1e-6), "scale", "lists"),
-    ("S9", "bytes of an entry as JSON", "B", point(LIST, LEAVES, "list_bytes", scale=1 / LEAVES), "scale", "lists"),
-    ("S10", "processor time of the first whole list, read and taken", "ms",
+    ("S10", "bytes of an entry as JSON", "B", point(LIST, LEAVES, "list_bytes", scale=1 / LEAVES), "scale", "lists"),
+    ("S11", "processor time of the first whole list, read and taken", "ms",
      point(LIST, LEAVES, "parse_processor_ns", "take_processor_ns", scale=1e-6), "scale", "start"),
-    ("S11", "the same, of one that changes nothing", "ms",
+    ("S12", "the same, of one that changes nothing", "ms",
      point(LIST, LEAVES, "parse_processor_ns", "retake_processor_ns", scale=1e-6), "scale", "reload"),
-    ("S12", "resident memory of the list of 110,000", "MB",
+    ("S13", "resident memory of the list of 110,000", "MB",
      point(LIST, LEAVES, "resident_bytes", scale=1e-6), "scale", "memory"),
-    ("S13", "the most held while it is read, the program included", "MB",
+    ("S14", "the most held while it is read, the program included", "MB",
      point(LIST, LEAVES, "peak_resident_bytes", scale=1e-6), "scale", "memory"),
-    ("S14", "memory of a connection in the reducer, buffers aside", "KB",
+    ("S15", "memory of a connection in the reducer, buffers aside", "KB",
      line(LINKS, "resident_bytes", 1e-3), "scale", "memory"),
-    ("S15", "memory of an open query of 69 parts", "KB", line(WAITING, "resident_bytes", 1e-3), "scale", "memory"),
-    ("S16", "processor time of a query of 69 parts over sockets, one real mixer", "us", missing, "hollow", "a query"),
-    ("S17", "a change at discovery until in force at the last mixer, 99th percentile", "ms", missing, "hollow", "3 s"),
-    ("S18", "processor time at discovery of one change for one mixer", "us", missing, "hollow", "discovery"),
-    ("S19", "discovery comes back: until the last mixer has its list", "ms", missing, "hollow", "discovery"),
+    ("S16", "memory of an open query of 69 parts", "KB", line(WAITING, "resident_bytes", 1e-3), "scale", "memory"),
+    ("S17", "processor time of a query of 69 parts over sockets, one real mixer", "us", missing, "none", "a query"),
+    ("S18", "a change in force at the last of 4,500 mixers, pushed, 300 listed", "ms",
+     hollow(MIXERS, FEW_LEAVES, "pushed", "change", "in_force", "worst_ms"), "hollow", "3 s"),
+    ("S19", "processor time of the stand-in discovery for one change and mixer", "us",
+     hollow(MIXERS, FEW_LEAVES, "pushed", "change", "cost", "discovery_processor_ms", scale=1e3,
+            over=("change", "cost", "change_messages")), "hollow", "discovery"),
+    ("S20", "discovery back after 2 s: a change made meanwhile in force at the last of 4,500, pushed", "ms",
+     hollow(MIXERS, FEW_LEAVES, "pushed", "back", "step", "in_force", "worst_ms"), "hollow", "discovery"),
+    ("S21", "the same, asked", "ms",
+     hollow(MIXERS, FEW_LEAVES, "asked", "back", "step", "in_force", "worst_ms"), "hollow", "discovery"),
+    ("S22", "all watches silent: a change of that moment in force at the last of 4,500, pushed", "ms",
+     hollow(MIXERS, FEW_LEAVES, "pushed", "silence", "in_force", "worst_ms"), "hollow", "3 s"),
+    ("S23", "the same, asked", "ms",
+     hollow(MIXERS, FEW_LEAVES, "asked", "silence", "in_force", "worst_ms"), "hollow", "3 s"),
+    ("S24", "a mixer's control at 1.8 changes a second over sockets, 30,000 listed", "% of a core",
+     steady(FEW_MIXERS, 30_000, "asked", "processor_percent_of_a_core_per_mixer"), "hollow", "control"),
+    ("S25", "the same, 110,000 listed", "% of a core",
+     steady(FEW_MIXERS, LEAVES, "asked", "processor_percent_of_a_core_per_mixer"), "hollow", "control"),
+    ("S26", "bytes of that on the socket, 30,000 listed", "B a second",
+     steady(FEW_MIXERS, 30_000, "asked", "socket_bytes_per_second_per_mixer"), "hollow", "control"),
+    ("S27", "a zone's 7,333 entries in force at the last of 10 mixers, 110,000 listed", "ms",
+     hollow(FEW_MIXERS, LEAVES, "asked", "zone", "step", "in_force", "worst_ms"), "hollow", "3 s"),
 ]
-RUNS = {"scale": "`make scale`", "hollow": "`make scale`, hollow mixers"}
+RUNS = {"scale": "`make scale`", "hollow": "`make scale`, hollow mixers", "none": "none yet"}
 
 
 def read_all(folder=HERE):
@@ -138,15 +187,17 @@
         reports[kind] = [json.loads(path.read_text()) if path.exists() else None for path in paths]
     slopes = {}
     for key, what, unit, read, kind, used in LINES:
-        before, now = [read(report) if report else None for report in reports[kind]]
+        before, now = [read(report) if report else None for report in reports.get(kind, (None, None))]
         slopes[key] = Slope(key, what, unit, before, now, RUNS[kind], used)
     return slopes
 
 
 def machines(folder=HERE):
-    """The machine and commit of each report that is there, by file name."""
+    """The machine and commit of each report that is there, and the load average that it noted, by file name."""
     found = {}
     for name in (name for names in REPORTS.values() for name in names):
         if (folder / name).exists():
-            found[name] = json.loads((folder / name).read_text())["machine"]
+            report = json.loads((folder / name).read_text())
+            load = " to ".join(f"{value:g}" for value in report.get("load_average", []))
+            found[name] = report["machine"], load or "not noted"
     return found
