--- a/docs/capacity/measured.py
+++ b/docs/capacity/measured.py
@@ -148,7 +148,7 @@
      point(LIST, LEAVES, "parse_processor_ns", "retake_processor_ns", scale=1e-6), "scale", "reload"),
     ("S13", "resident memory of the list of 110,000", "MB",
      point(LIST, LEAVES, "resident_bytes", scale=1e-6), "scale", "memory"),
-    ("S14", "the most held while it is read, the program included", "MB",
+    ("S14", "the most held while it is read twice, the program included", "MB",
      point(LIST, LEAVES, "peak_resident_bytes", scale=1e-6), "scale", "memory"),
     ("S15", "memory of a connection in the reducer, buffers aside", "KB",
      line(LINKS, "resident_bytes", 1e-3), "scale", "memory"),
@@ -174,7 +174,8 @@
     ("S26", "a zone's 7,333 entries in force at the last of 10 mixers, 110,000 listed", "ms",
      hollow(FEW_MIXERS, LEAVES, "asked", "zone", "step", "in_force", "worst_ms"), "hollow", "3 s"),
     ("S27", "discovery back without its history, whole lists for all 4,500, pushed, 300 listed", "ms",
-     hollow(MIXERS, FEW_LEAVES, "pushed", "back_without_history", "step", "in_force", "worst_ms"), "hollow", "discovery"),
+     hollow(MIXERS, FEW_LEAVES, "pushed", "back_without_history", "step", "in_force", "worst_ms"), "hollow",
+     "discovery"),
 ]
 RUNS = {"scale": "`make scale`", "hollow": "`make scale`, hollow mixers", "none": "none yet"}
 
