--- a/crates/lab/src/scale/point.rs
+++ b/crates/lab/src/scale/point.rs
@@ -213,7 +213,8 @@
         let text = spec.fleet.change(done + 2, done / 2 * entries, entries, standing);
         bytes += text.len();
         let watch = Stopwatch::start();
-        driver.take(discovery::read(text.as_bytes())?.ok_or("an empty change")?);
+        driver
+            .take(discovery::read(text.as_bytes()).map_err(|why| why.to_string())?.ok_or("an empty change")?);
         costs.push(watch.nanos());
         done += 1;
     }
--- a/crates/lab/src/scale/watch.rs
+++ b/crates/lab/src/scale/watch.rs
@@ -39,7 +39,7 @@
         buffer.extend_from_slice(piece.as_bytes());
         let watch = Stopwatch::start();
         while let Some(object) = codec.decode(&mut buffer).map_err(|e| e.to_string())? {
-            if let Some(listing) = discovery::read(&object)? {
+            if let Some(listing) = discovery::read(&object).map_err(|why| why.to_string())? {
                 processor_ns += watch.nanos();
                 return Ok(Whole { listing, bytes, processor_ns, refused: None });
             }
@@ -53,7 +53,7 @@
     let mut text = String::new();
     text.extend(fleet.whole_list(version));
     let watch = Stopwatch::start();
-    let listing = discovery::read(text.as_bytes())?.ok_or("an empty list")?;
+    let listing = discovery::read(text.as_bytes()).map_err(|why| why.to_string())?.ok_or("an empty list")?;
     let processor_ns = watch.nanos();
     Ok(Whole { listing, bytes: text.len(), processor_ns, refused: Some(why) })
 }
--- a/crates/mixer/src/protocol/discovery.rs
+++ b/crates/mixer/src/protocol/discovery.rs
@@ -8,7 +8,7 @@
 use std::collections::HashSet;
 use std::fmt;
 use std::net::{SocketAddr, SocketAddrV4, SocketAddrV6};
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// The most entries of one list: the 110,000 leaf servers to plan for, and a fifth more for growth.
 pub const MOST_ENTRIES: usize = 131_072;
@@ -63,7 +63,7 @@
     /// None where the entry states none that can be used.
     pub address: Option<Address>,
     /// Shared by all entries of a list that name the same zone; empty where none is stated.
-    pub zone: Rc<str>,
+    pub zone: Arc<str>,
     /// The cell that it holds.
     pub group: u16,
     pub status: Status,
@@ -175,7 +175,7 @@
 #[derive(Default)]
 struct Entries {
     endpoints: Vec<Endpoint>,
-    zones: HashSet<Rc<str>>,
+    zones: HashSet<Arc<str>>,
     /// How many there were, read or not.
     count: usize,
     /// The first faults, how many there were in all, and the first entry without a name.
@@ -246,11 +246,11 @@
         self.endpoints.push(Endpoint { name, address, zone, group, status, since_ms });
     }
 
-    fn zone(&mut self, name: &str) -> Rc<str> {
+    fn zone(&mut self, name: &str) -> Arc<str> {
         if let Some(zone) = self.zones.get(name) {
             return zone.clone();
         }
-        let zone: Rc<str> = name.into();
+        let zone: Arc<str> = name.into();
         self.zones.insert(zone.clone());
         zone
     }
--- a/crates/mixer/tests/replicas.rs
+++ b/crates/mixer/tests/replicas.rs
@@ -408,7 +408,7 @@
     // As read: before, 88 bytes and three texts on the heap.
     assert!(size_of::<Endpoint>() <= 64, "{}", size_of::<Endpoint>());
     let read = listing(1, true, &[entry(1, "up"), entry(2, "up")]);
-    assert!(std::rc::Rc::ptr_eq(&read.endpoints[0].zone, &read.endpoints[1].zone), "a zone's name once");
+    assert!(std::sync::Arc::ptr_eq(&read.endpoints[0].zone, &read.endpoints[1].zone), "a zone's name once");
 }
 
 #[test]
