--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -196,7 +196,7 @@
     assert_eq!(groups, (0..1_000).map(|number| number / 3).collect::<Vec<u16>>());
     let change = discovery::read(fleet(1_000).change(10, 998, 4, Standing::Draining).as_bytes());
     let change = change.expect("a change").expect("one that says something");
-    let names: Vec<&str> = change.endpoints.iter().map(|entry| entry.name.as_str()).collect();
+    let names: Vec<&str> = change.endpoints.iter().map(|entry| &*entry.name).collect();
     assert_eq!(names, ["leaf-000003e6", "leaf-000003e7", "leaf-00000000", "leaf-00000001"]);
 }
 
