Give outcomes their names and shares in one place

The names of outcomes stood in the reconciliation and in the program's dump, with a share beside them there; join::Outcome has name and partial_share now, and its answered serves the reconciliation. Escaped parts of file names and the bytes of a log are named as such.

cargo test of the ledger and the program: 25 and 6 pass, as before; clippy is clean.

--- a/crates/cottonhill/src/commands.rs
+++ b/crates/cottonhill/src/commands.rs
@@ -5,7 +5,6 @@
 use crate::{settings, Files};
 use clap::{Subcommand, ValueEnum};
 use comfy_table::Table;
-use cottonhill_ledger::join::Outcome;
 use cottonhill_ledger::log;
 use cottonhill_ledger::period::{stamp, Period};
 use cottonhill_ledger::rate::Counts;
@@ -667,17 +666,10 @@
     let name = |id: u32| json!(names.get(&id));
     let mut rows = Rows::new(&RECORD);
     for it in store.tries(i64::MIN, i64::MAX).map_err(Failure::running)? {
-        let (outcome, share) = match it.outcome {
-            Outcome::Whole => ("whole", 0),
-            Outcome::Partial(share) => ("partial", share),
-            Outcome::Refused => ("refused", 0),
-            Outcome::Failed => ("failed", 0),
-            Outcome::Left => ("left", 0),
-        };
         let whose =
             [name(it.member), json!(it.incarnation), json!(it.sequence), name(it.tenant), name(it.class)];
-        let counts = [share, it.parts, it.attempts, it.crossed];
-        rows.rows.push(record_row(it.at, whose, outcome, counts, (it.repeat, it.keyed, it.key)));
+        let counts = [it.outcome.partial_share(), it.parts, it.attempts, it.crossed];
+        rows.rows.push(record_row(it.at, whose, it.outcome.name(), counts, (it.repeat, it.keyed, it.key)));
     }
     rows.print(shape)
 }
--- a/crates/ledger/src/export.rs
+++ b/crates/ledger/src/export.rs
@@ -38,8 +38,8 @@
     pub corrects: Option<(String, String)>,
 }
 
-/// A word of a file's name, whatever stands in it.
-fn word(text: &str) -> String {
+/// A text as a part of a file's name: other characters than letters, digits, `-`, `_` and `.` are escaped.
+fn file_name_part(text: &str) -> String {
     let plain = |c: char| {
         if c.is_ascii_alphanumeric() || "-_.".contains(c) {
             c.to_string()
@@ -51,7 +51,7 @@
 }
 
 fn statement_id(period: &str, tenant: &str) -> String {
-    format!("statement-{}-{}", word(&period.replace(':', "")), word(tenant))
+    format!("statement-{}-{}", file_name_part(&period.replace(':', "")), file_name_part(tenant))
 }
 
 impl Document {
@@ -79,7 +79,7 @@
     pub fn of_correction(correction: &CorrectionLine, period: Period, hash: &str) -> Document {
         let kind = if correction.amount < 0 { "credit" } else { "debit" };
         Document {
-            id: format!("{kind}-{}", word(&correction.id)),
+            id: format!("{kind}-{}", file_name_part(&correction.id)),
             kind: kind.into(),
             tenant: correction.tenant.clone(),
             period: period.name(),
--- a/crates/ledger/src/join.rs
+++ b/crates/ledger/src/join.rs
@@ -23,10 +23,30 @@
 }
 
 impl Outcome {
-    fn answered(self) -> bool {
+    /// Whether the client was answered, whole or in part.
+    pub fn answered(self) -> bool {
         matches!(self, Outcome::Whole | Outcome::Partial(_))
     }
 
+    /// Its name in reports and files.
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::Whole => "whole",
+            Outcome::Partial(_) => "partial",
+            Outcome::Refused => "refused",
+            Outcome::Failed => "failed",
+            Outcome::Left => "left",
+        }
+    }
+
+    /// The share of the weight that a partial answer rests on, in millionths; 0 for any other outcome.
+    pub fn partial_share(self) -> u32 {
+        match self {
+            Outcome::Partial(share) => share,
+            _ => 0,
+        }
+    }
+
     /// Which of two tries' outcomes is that of their use: the better one.
     fn better(self, other: Outcome) -> Outcome {
         match (self, other) {
--- a/crates/ledger/src/reconcile.rs
+++ b/crates/ledger/src/reconcile.rs
@@ -1,6 +1,6 @@
 //! Sets the ledger beside what others counted: the clients' own records of their uses, and the mixers' counters.
 
-use crate::join::{Joiner, Outcome, Use};
+use crate::join::{Joiner, Use};
 use crate::period::{stamp, Calendar};
 use crate::settle::Bounds;
 use crate::store::{Error, Store};
@@ -58,16 +58,7 @@
     }
 }
 
-fn word(outcome: Outcome) -> &'static str {
-    match outcome {
-        Outcome::Whole => "whole",
-        Outcome::Partial(_) => "partial",
-        Outcome::Refused => "refused",
-        Outcome::Failed => "failed",
-        Outcome::Left => "left",
-    }
-}
-
+/// Whether a client that recorded this outcome was answered.
 fn answered(outcome: &str) -> bool {
     outcome == "whole" || outcome == "partial"
 }
@@ -90,7 +81,7 @@
         let period = calendar.at(first.at).name();
         let pair = reconciled.totals.entry((period, tenant.clone(), class.clone())).or_default();
         pair.ledger += 1;
-        pair.ledger_answered += u64::from(answered(word(it.outcome)));
+        pair.ledger_answered += u64::from(it.outcome.answered());
         ours.entry((tenant, class, format!("{:016x}", first.key))).or_default().push_back(it);
     };
     for one in store.tries(from, until)? {
@@ -111,8 +102,8 @@
         let ledger = ours.get_mut(&key).and_then(VecDeque::pop_front);
         let what = match &ledger {
             None => "only the client has it",
-            Some(it) if answered(word(it.outcome)) != answered(&client.outcome) => "ended otherwise",
-            Some(it) if answered(&client.outcome) && word(it.outcome) != client.outcome => "ended otherwise",
+            Some(it) if it.outcome.answered() != answered(&client.outcome) => "ended otherwise",
+            Some(it) if answered(&client.outcome) && it.outcome.name() != client.outcome => "ended otherwise",
             Some(_) => continue,
         };
         reconciled.differences.push(Difference {
@@ -121,13 +112,13 @@
             class: key.1,
             at: stamp(client.at_ms),
             key: key.2,
-            ledger: ledger.map(|it| word(it.outcome).to_string()).unwrap_or_default(),
+            ledger: ledger.map(|it| it.outcome.name().to_string()).unwrap_or_default(),
             client: client.outcome.clone(),
         });
     }
     for ((tenant, class, key), uses) in ours {
         for it in uses {
-            let (at, ledger) = (stamp(it.first().at), word(it.outcome).to_string());
+            let (at, ledger) = (stamp(it.first().at), it.outcome.name().to_string());
             let (tenant, class, key) = (tenant.clone(), class.clone(), key.clone());
             let what = "only the ledger has it";
             reconciled.differences.push(Difference {
--- a/crates/ledger/src/writer.rs
+++ b/crates/ledger/src/writer.rs
@@ -278,11 +278,11 @@
     }
 
     fn begin(&mut self, first: u64) -> io::Result<(File, u64)> {
-        let mut held = 0;
+        let mut log_bytes = 0;
         for segment in segments(&self.directory)? {
-            held += fs::metadata(&segment.path).map_or(0, |file| file.len());
+            log_bytes += fs::metadata(&segment.path).map_or(0, |file| file.len());
         }
-        if held + self.segment_bytes > self.keep_bytes {
+        if log_bytes + self.segment_bytes > self.keep_bytes {
             return Err(io::Error::other("it holds as much as it may; nothing of it has been settled"));
         }
         self.header.first_sequence = first;
