--- a/crates/opensearch/src/index.rs
+++ b/crates/opensearch/src/index.rs
@@ -100,7 +100,7 @@
     Certificate,
 }
 
-/// All that the front is told; none where it is off.
+/// The settings of the front.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Front {
     pub listen: SocketAddr,
@@ -179,6 +179,8 @@
 }
 
 impl Front {
+    /// Reads the settings of the front; `None` where it is off.
+    ///
     /// # Errors
     /// Values that contradict each other.
     pub fn read(settings: &Settings, schema: &Schema) -> Result<Option<Front>, Problems> {
--- a/crates/opensearch/src/shape.rs
+++ b/crates/opensearch/src/shape.rs
@@ -119,7 +119,7 @@
     hit: &'a crate::dsl::Hit,
 }
 
-/// The count that is told: none, exact, or a bound.
+/// The count of hits in the answer: none, exact, or a lower bound.
 fn total(search: &Search, total: Option<Total>) -> Option<Total> {
     let counted = total?;
     match search.track_total_hits {
