--- a/crates/lab/src/scale/findings.rs
+++ b/crates/lab/src/scale/findings.rs
@@ -141,7 +141,9 @@
     let ends = series.and_then(|series| Some((series.points.first()?, series.points.last()?, &series.size)));
     let Some((first, last, size)) = ends else { return Ratio { name: what, value: None, aim } };
     let cost = |point: &Point| point.values.get(&measure).copied().filter(|cost| *cost > 0.0);
-    let value = cost(last).zip(cost(first)).map(|(last, first)| last / first);
+    // One size says nothing about growth.
+    let ends = cost(last).zip(cost(first)).filter(|_| first.x < last.x);
+    let value = ends.map(|(last, first)| last / first);
     let name = format!("{what}: {} against {} {size}", grouped(last.x), grouped(first.x));
     Ratio { name, value, aim }
 }
--- a/crates/lab/tests/reports.rs
+++ b/crates/lab/tests/reports.rs
@@ -123,6 +123,21 @@
     assert_eq!(missing.iter().filter_map(Ratio::reached).collect::<Vec<_>>(), [false, false, false]);
 }
 
+#[test]
+fn a_series_of_one_size_reaches_no_aim() {
+    let change = |servers: &[f64]| {
+        let cost = |x: f64| Values::from([(Measure::ChangedEntryProcessorNs, 10.0 * x)]);
+        let points = servers.iter().map(|x| point(*x, Outcome::Measured, cost(*x))).collect();
+        let series = Series { name: "change-of-one-entry-by-servers".into(), ..list_series(points) };
+        let ratios = findings::ratios(&scale(), &[series]);
+        let one = ratios.into_iter().find(|ratio| ratio.name.starts_with("one changed entry"));
+        one.map(|ratio| (ratio.value, ratio.reached()))
+    };
+    assert_eq!(change(&[300.0]), Some((None, Some(false))));
+    assert_eq!(change(&[300.0, 600.0]), Some((Some(2.0), Some(true))));
+    assert_eq!(change(&[300.0, 3_000.0]), Some((Some(10.0), Some(false))));
+}
+
 #[test]
 fn two_reports_stand_side_by_side() {
     let text = comparison(&a_report(100.0), &a_report(20.0));
