--- a/crates/lab/src/fit.rs
+++ b/crates/lab/src/fit.rs
@@ -5,7 +5,9 @@
 /// `y = intercept + slope * x`, and how far the points lie from it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Line {
+    /// Growth of `y` for one of `x`.
     pub slope: f64,
+    /// `y` at zero.
     pub intercept: f64,
     /// Root of the mean square of what the line misses, as a share of the mean of `y`; 0 is a perfect fit.
     pub residual: f64,
--- a/crates/lab/src/machine.rs
+++ b/crates/lab/src/machine.rs
@@ -7,9 +7,12 @@
 /// What figures of one machine have to be read with. No host names and no paths.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Machine {
+    /// Processors that this process may use.
     pub cores: usize,
     pub memory_bytes: u64,
+    /// Release of the kernel.
     pub kernel: String,
+    /// Model of the processor.
     pub processor: String,
     /// The commit measured; `unknown` outside a working copy, `+changes` after it where files differ from it.
     pub commit: String,
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -19,6 +19,7 @@
     PartProcessorNs,
     /// Queries that ended while processor time was measured; the other counts are of the whole point.
     QueriesMeasured,
+    /// Queries that clients put.
     QueriesAsked,
     /// Queries that ended in an answer.
     QueriesAnswered,
@@ -168,11 +169,13 @@
 /// The counts of a report's last line.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Summary {
+    /// Series and their points, then the points by how they ended.
     pub series: usize,
     pub points: usize,
     pub cut: usize,
     pub refused: usize,
     pub failed: usize,
+    /// Ratios that have an aim, and those of them that reach it.
     pub aims: usize,
     pub reached: usize,
 }
--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -5,9 +5,11 @@
 /// How large the fleet is, and how it is laid out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Fleet {
+    /// Leaf servers listed.
     pub servers: u64,
     /// Leaf servers that hold the same shard; neighbours in number, and so in different zones.
     pub copies: u64,
+    /// Zones that the leaf servers are spread over, one after another.
     pub zones: u64,
 }
 
--- a/crates/lab/src/scale/plan.rs
+++ b/crates/lab/src/scale/plan.rs
@@ -37,6 +37,7 @@
     pub title: String,
     /// What its size counts.
     pub size: &'static str,
+    /// Each size with what is to be measured there.
     pub points: Vec<(u64, Spec)>,
 }
 
--- a/crates/lab/src/scale/watch.rs
+++ b/crates/lab/src/scale/watch.rs
@@ -12,6 +12,7 @@
 /// A list that was read.
 pub struct Whole {
     pub listing: Listing,
+    /// Length of the list as JSON.
     pub bytes: usize,
     /// Processor time of framing and parsing, in nanoseconds.
     pub processor_ns: f64,
