--- a/docs/capacity/arithmetic.py
+++ b/docs/capacity/arithmetic.py
@@ -377,13 +377,14 @@
 
 def control_rows():
     changes, reloads = (share_of_core(x) for x in (times(ENTRY_RATE, S["S7"].value, 1e-6), reload_share()))
-    sockets = share_of_core(times(S["S25"].value, 1e-2))
+    sockets, fewer = (share_of_core(times(S[key].value, 1e-2)) for key in ("S25", "S24"))
     ordinary, zone, memory = size(ENTRY_RATE), size(LEAVES / ZONES), S["S14"].value
     return [
         ["**Mixer**, control: changes", f"{changes} (S7)", "1.5%",
          verdict(times(ENTRY_RATE, S["S7"].value, 1e-6), CONTROL_CORE), "delta encoding, applied by entry",
          "`routing/replicas.rs`"],
-        ["the same over sockets, signs of life included", f"{sockets} (S25)", "1.5%",
+        ["the same over sockets, signs of life included", f"{sockets} (S25); {fewer} with 30,000 listed (S24)",
+         "1.5%",
          verdict(times(S["S25"].value, 1e-2), CONTROL_CORE), "one watch, one thread", "`transport/watch.rs`"],
         ["whole list at each reload", f"{reloads} (S12)", "1.5%", verdict(reload_share(), CONTROL_CORE),
          "delta encoding from a version", "missing: `reloaded` asks an agent for all"],
--- a/docs/capacity/measured.py
+++ b/docs/capacity/measured.py
@@ -177,7 +177,7 @@
      hollow(MIXERS, FEW_LEAVES, "pushed", "back_without_history", "step", "in_force", "worst_ms"), "hollow",
      "discovery"),
 ]
-RUNS = {"scale": "`make scale`", "hollow": "`make scale`, hollow mixers", "none": "none yet"}
+RUNS = {"scale": "`make scale`", "hollow": "`cottonhill-lab hollow`", "none": "none yet"}
 
 
 def read_all(folder=HERE):
