Report a size whose list is refused as refused, without reading past the bound

Cause: the rig read a refused list past the watch's bound; with the bound on entries there is no way past it, and the point came out as failed.

--- a/crates/lab/src/scale/point.rs
+++ b/crates/lab/src/scale/point.rs
@@ -2,7 +2,7 @@
 
 use super::driver::{Counts, Driver, Workload};
 use super::fleet::{Fleet, Standing};
-use super::watch::{read_whole, Whole};
+use super::watch::{read_whole, ReadList, Unmeasured};
 use crate::fit::median;
 use crate::meter::{peak_resident_bytes, resident_bytes, Stopwatch};
 use crate::report::{Measure, Outcome, Values};
@@ -62,6 +62,12 @@
         Sample { outcome: Outcome::Failed, note: why.to_string(), values: Values::new() }
     }
 
+    /// A sample of a size whose list the watch does not let in.
+    fn refused(bytes: usize, why: &str) -> Sample {
+        let note = format!("refused: over the bound ({why})");
+        Sample { outcome: Outcome::Refused, note, values: Values::from([(Measure::ListBytes, bytes as f64)]) }
+    }
+
     fn cut(self, note: String) -> Sample {
         Sample { outcome: Outcome::Cut, note, ..self }
     }
@@ -76,11 +82,14 @@
         Work::Connections { workload, queries } => connections(spec, workload, *queries),
         Work::OpenQueries { workload, warm } => open_queries(spec, workload, *warm),
     };
-    sample.unwrap_or_else(Sample::failed)
+    sample.unwrap_or_else(|unmeasured| match unmeasured {
+        Unmeasured::Refused { bytes, why } => Sample::refused(bytes, &why),
+        Unmeasured::Failed(why) => Sample::failed(why),
+    })
 }
 
-/// A mixer with its list in force, whether or not the watch would have let it in.
-fn mixer(spec: &Spec) -> Result<Driver, String> {
+/// A mixer with its list in force.
+fn mixer(spec: &Spec) -> Result<Driver, Unmeasured> {
     let mut driver = Driver::new(spec.fleet, spec.seed)?;
     driver.take(read_whole(spec.fleet, 1)?.listing);
     Ok(driver)
@@ -102,10 +111,10 @@
     driver.run(workload, shards, queries.saturating_sub(workload.open), until);
 }
 
-fn list(spec: &Spec) -> Result<Sample, String> {
+fn list(spec: &Spec) -> Result<Sample, Unmeasured> {
     let mut driver = Driver::new(spec.fleet, spec.seed)?;
     let before = resident_bytes();
-    let Whole { listing, bytes, processor_ns, refused } = read_whole(spec.fleet, 1)?;
+    let ReadList { listing, bytes, processor_ns } = read_whole(spec.fleet, 1)?;
     let watch = Stopwatch::start();
     driver.take(listing);
     let take_ns = watch.nanos();
@@ -123,18 +132,10 @@
         (Measure::FirstPeakResidentBytes, first_peak as f64),
         (Measure::PeakResidentBytes, peak_resident_bytes() as f64),
     ]);
-    let sample = Sample::measured(values);
-    Ok(match refused {
-        Some(why) => Sample {
-            outcome: Outcome::Refused,
-            note: format!("refused: over the bound ({why}); parsed past it, without framing"),
-            ..sample
-        },
-        None => sample,
-    })
+    Ok(Sample::measured(values))
 }
 
-fn run_queries(spec: &Spec, workload: &Workload, warm: u64, queries: u64) -> Result<Sample, String> {
+fn run_queries(spec: &Spec, workload: &Workload, warm: u64, queries: u64) -> Result<Sample, Unmeasured> {
     let mut driver = mixer(spec)?;
     driver.connect_clients(workload);
     warm_up(&mut driver, spec, workload, warm);
@@ -203,7 +204,7 @@
     ])
 }
 
-fn changes(spec: &Spec, entries: u64, messages: u64) -> Result<Sample, String> {
+fn changes(spec: &Spec, entries: u64, messages: u64) -> Result<Sample, Unmeasured> {
     let mut driver = mixer(spec)?;
     let until = deadline(spec);
     let (mut costs, mut bytes, mut done) = (Vec::new(), 0, 0);
@@ -223,7 +224,7 @@
     let mean = |costs: &[f64]| costs.iter().sum::<f64>() / costs.len() as f64;
     let cost = median(costs.chunks(slice).map(mean).collect()).ok_or("no change was taken in time")?;
     if driver.list_version() != done + 1 {
-        return Err(format!("version {} in force after {done} changes", driver.list_version()));
+        return Err(format!("version {} in force after {done} changes", driver.list_version()).into());
     }
     let values = Values::from([
         (Measure::ChangeMessages, done as f64),
@@ -235,7 +236,7 @@
     Ok(if done == messages { sample } else { sample.cut(format!("cut after {done} messages")) })
 }
 
-fn connections(spec: &Spec, workload: &Workload, queries: u64) -> Result<Sample, String> {
+fn connections(spec: &Spec, workload: &Workload, queries: u64) -> Result<Sample, Unmeasured> {
     let mut driver = mixer(spec)?;
     driver.connect_clients(workload);
     let before = resident_bytes();
@@ -248,7 +249,7 @@
     Ok(if all { sample } else { sample.cut(format!("cut after {ended} queries")) })
 }
 
-fn open_queries(spec: &Spec, workload: &Workload, warm: u64) -> Result<Sample, String> {
+fn open_queries(spec: &Spec, workload: &Workload, warm: u64) -> Result<Sample, Unmeasured> {
     let mut driver = mixer(spec)?;
     // The connections stand before the queries that are measured, and few queries open them.
     let few = Workload { open: workload.open.min(8), ..*workload };
--- a/crates/lab/src/scale/watch.rs
+++ b/crates/lab/src/scale/watch.rs
@@ -10,28 +10,39 @@
 const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n";
 
 /// A list that was read.
-pub struct Whole {
+pub struct ReadList {
     pub listing: Listing,
-    /// Length of the list as JSON.
     pub bytes: usize,
     /// Processor time of framing and parsing, in nanoseconds.
     pub processor_ns: f64,
-    /// Why the watch refuses it; it was read past that bound then.
-    pub refused: Option<String>,
 }
 
-/// Reads the whole list of `fleet` through the watch's codec; past its bound where the codec refuses.
-///
-/// # Errors
-/// A list that is no list.
-pub fn read_whole(fleet: Fleet, version: u64) -> Result<Whole, String> {
-    match through_codec(fleet, version) {
-        Ok(whole) => Ok(whole),
-        Err(why) => past_bound(fleet, version, why),
+/// Why a point could not be measured.
+#[derive(Debug)]
+pub enum Unmeasured {
+    /// Its list is over the watch's bound: the list's size, and what the watch says.
+    Refused { bytes: usize, why: String },
+    /// The program or the rig did something else than it should.
+    Failed(String),
+}
+
+impl From<String> for Unmeasured {
+    fn from(why: String) -> Unmeasured {
+        Unmeasured::Failed(why)
     }
 }
 
-fn through_codec(fleet: Fleet, version: u64) -> Result<Whole, String> {
+impl From<&str> for Unmeasured {
+    fn from(why: &str) -> Unmeasured {
+        Unmeasured::Failed(why.into())
+    }
+}
+
+/// Reads the whole list of `fleet` through the watch's codec.
+///
+/// # Errors
+/// A list over the watch's bound, or that is no list.
+pub fn read_whole(fleet: Fleet, version: u64) -> Result<ReadList, Unmeasured> {
     let mut codec = WatchCodec::default();
     let mut buffer = BytesMut::from(HEAD);
     let (mut bytes, mut processor_ns) = (0, 0.0);
@@ -39,22 +50,26 @@
         bytes += piece.len();
         buffer.extend_from_slice(piece.as_bytes());
         let watch = Stopwatch::start();
-        while let Some(object) = codec.decode(&mut buffer).map_err(|e| e.to_string())? {
-            if let Some(listing) = discovery::read(&object).map_err(|why| why.to_string())? {
-                processor_ns += watch.nanos();
-                return Ok(Whole { listing, bytes, processor_ns, refused: None });
-            }
-        }
+        let listing = next_listing(&mut codec, &mut buffer).map_err(|why| refusal(fleet, version, why))?;
         processor_ns += watch.nanos();
+        if let Some(listing) = listing {
+            return Ok(ReadList { listing, bytes, processor_ns });
+        }
+    }
+    Err(Unmeasured::Failed("the list ended within an object".into()))
+}
+
+/// The next list in what has come, if it is whole.
+fn next_listing(codec: &mut WatchCodec, buffer: &mut BytesMut) -> Result<Option<Listing>, String> {
+    while let Some(object) = codec.decode(buffer).map_err(|error| error.to_string())? {
+        let listing = discovery::read(&object).map_err(|error| error.to_string())?;
+        if listing.is_some() {
+            return Ok(listing);
+        }
     }
-    Err("the list ended within an object".into())
+    Ok(None)
 }
 
-fn past_bound(fleet: Fleet, version: u64, why: String) -> Result<Whole, String> {
-    let mut text = String::new();
-    text.extend(fleet.whole_list(version));
-    let watch = Stopwatch::start();
-    let listing = discovery::read(text.as_bytes()).map_err(|why| why.to_string())?.ok_or("an empty list")?;
-    let processor_ns = watch.nanos();
-    Ok(Whole { listing, bytes: text.len(), processor_ns, refused: Some(why) })
+fn refusal(fleet: Fleet, version: u64, why: String) -> Unmeasured {
+    Unmeasured::Refused { bytes: fleet.whole_list(version).map(|piece| piece.len()).sum(), why }
 }
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -188,7 +188,7 @@
 #[test]
 fn the_list_that_a_fleet_writes_is_what_the_watch_reads() {
     let whole = watch::read_whole(fleet(1_000), 9).expect("a list");
-    assert_eq!((whole.refused, whole.listing.index, whole.listing.snapshot), (None, 9, true));
+    assert_eq!((whole.listing.index, whole.listing.snapshot), (9, true));
     let pieces: String = fleet(1_000).whole_list(9).collect();
     assert_eq!(pieces.len(), whole.bytes);
     assert_eq!(discovery::read(pieces.as_bytes()), Ok(Some(whole.listing.clone())));
