Follow discovery's list without the rest of the transport

Change: the watch takes the buffers, the way in for lists and how it is kept up; `transport::follow_list` starts one. What a serving mixer does is the same.

--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -34,7 +34,7 @@
 /// Inputs that may wait; past it the sockets are read no further until the reducer has caught up.
 const MOST_INPUTS: usize = 1024;
 /// The same for what discovery tells: a list may be large, and the next one can wait at its socket.
-const MOST_LISTS: usize = 2;
+pub const MOST_LISTS: usize = 2;
 /// Inputs that one turn takes at most, so that timers stay in time under a flood.
 const MOST_BATCH: usize = 256;
 /// Commands that may wait at one connection. The reducer gives each a frame or reply at a time.
@@ -120,7 +120,16 @@
 }
 
 fn watch(shared: &Shared, address: SocketAddr, from: Option<u64>) -> AbortHandle {
-    tokio::task::spawn_local(watch::follow(shared.clone(), address, from)).abort_handle()
+    let Shared { pool, lists, watching, .. } = shared.clone();
+    tokio::task::spawn_local(watch::follow(pool, lists, watching, address, from)).abort_handle()
+}
+
+/// Follows discovery's list for ever as a serving mixer does, from version `from` on or from the whole list, and sends
+/// what it tells as inputs for the reducer. It ends only when it is dropped.
+pub async fn follow_list(
+    lists: mpsc::Sender<Input>, watching: Watching, address: SocketAddr, from: Option<u64>,
+) {
+    watch::follow(Pool::default(), lists, watching, address, from).await;
 }
 
 /// The next message of a connection: none at its end, or the time it was late. `begun` is when what is
--- a/crates/mixer/src/transport/watch.rs
+++ b/crates/mixer/src/transport/watch.rs
@@ -1,6 +1,6 @@
 //! The watch on discovery: one long answer, asked for again whenever it ends or falls silent.
 
-use super::Shared;
+use super::pool::Pool;
 use crate::protocol::discovery::{self, Listing};
 use crate::protocol::http::{TurnedAway, WatchCodec, WatchRequest};
 use crate::routing::messages::WatchNews;
@@ -10,12 +10,15 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout, Instant};
 use tokio_util::codec::Framed;
 
 /// One mixer's way with one discovery.
 struct Follower {
-    shared: Shared,
+    pool: Pool,
+    /// Where what discovery tells goes.
+    lists: mpsc::Sender<Input>,
     watching: Watching,
     address: SocketAddr,
     /// How far the list was followed; none where the whole list has to come first.
@@ -25,9 +28,10 @@
 }
 
 /// Follows the list from version `index` on, or from the whole list, for ever.
-pub async fn follow(shared: Shared, address: SocketAddr, index: Option<u64>) {
-    let watching = shared.watching.clone();
-    let mut follower = Follower { shared, watching, address, index, had: false };
+pub(super) async fn follow(
+    pool: Pool, lists: mpsc::Sender<Input>, watching: Watching, address: SocketAddr, index: Option<u64>,
+) {
+    let mut follower = Follower { pool, lists, watching, address, index, had: false };
     let mut failing = false;
     loop {
         follower.had = false;
@@ -54,16 +58,16 @@
 
 impl Follower {
     async fn tell(&self, input: Input) {
-        let _ = self.shared.lists.send(input).await;
+        let _ = self.lists.send(input).await;
     }
 
     /// Asks and reads until the watch ends, or the whole list that had to come first is in.
     async fn watch(&mut self) -> io::Result<()> {
         let connect = timeout(self.watching.connect(), TcpStream::connect(self.address));
         let stream = connect.await.map_err(|_| ErrorKind::TimedOut)??;
-        let mut connection = self.shared.pool.frame::<WatchRequest, _, _>(stream, WatchCodec::default());
+        let mut connection = self.pool.frame::<WatchRequest, _, _>(stream, WatchCodec::default());
         let watched = self.read(&mut connection).await;
-        self.shared.pool.recover(connection);
+        self.pool.recover(connection);
         watched
     }
 
