--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use cottonhill_ini::Settings;
+use cottonhill_lab::hollow::{self, HollowSettings, PointSpec};
 use cottonhill_lab::scale;
 use cottonhill_lab::scale::point::{self, Spec};
 use cottonhill_lab::scale::settings::Scale;
@@ -31,6 +32,12 @@
         #[arg(long, value_name = "REPORT")]
         against: Option<PathBuf>,
     },
+    /// Run mixers without clients over loopback sockets: delays and costs of lists and their changes
+    Hollow {
+        /// The report, as JSON; its tables are written beside it, with the ending md
+        #[arg(long, value_name = "FILE", default_value = "docs/capacity/hollow.json")]
+        out: PathBuf,
+    },
     /// Print every slope, ratio and cost of two reports side by side, as Markdown
     Compare { before: PathBuf, after: PathBuf },
     /// Measure one point in this process; how `scale` starts itself
@@ -39,18 +46,28 @@
         /// The point, as JSON
         spec: String,
     },
+    /// Measure one size in this process; how `hollow` starts itself
+    #[command(hide = true)]
+    HollowPoint {
+        /// The size, as JSON
+        spec: String,
+    },
 }
 
 fn run(arguments: Arguments) -> Result<(), Failure> {
-    if let Command::Point { spec } = &arguments.command {
-        return point(spec);
+    match &arguments.command {
+        Command::Point { spec } => return point(spec),
+        Command::HollowPoint { spec } => return hollow_point(spec),
+        _ => {}
     }
     let settings = settings::read(arguments.settings.as_deref())?;
     logs::start(&settings)?;
     match arguments.command {
         Command::Scale { out, against } => scale(&settings, &out, against.as_deref()),
         Command::Compare { before, after } => compare(&before, &after),
+        Command::Hollow { out } => hollow(&settings, &out),
         Command::Point { spec } => point(&spec),
+        Command::HollowPoint { spec } => hollow_point(&spec),
     }
 }
 
@@ -77,6 +94,25 @@
     Ok(())
 }
 
+/// One size on standard output; no logger runs here either.
+fn hollow_point(spec: &str) -> Result<(), Failure> {
+    let spec: PointSpec =
+        serde_json::from_str(spec).map_err(|e| Failure::Settings(format!("no point: {e}")))?;
+    let point = serde_json::to_string(&hollow::measure(&spec)?).map_err(Failure::running)?;
+    println!("{point}");
+    Ok(())
+}
+
+fn hollow(settings: &Settings, out: &Path) -> Result<(), Failure> {
+    let hollow = HollowSettings::read(settings)?;
+    let program = std::env::current_exe().map_err(Failure::running)?;
+    let report = hollow::run(&program, &hollow)?;
+    output::write_hollow(&report, out)?;
+    println!("{}", report.markdown());
+    println!("{}", report.summary());
+    Ok(())
+}
+
 fn compare(before: &Path, after: &Path) -> Result<(), Failure> {
     println!("{}", markdown::comparison(&output::read(before)?, &output::read(after)?));
     Ok(())
--- a/crates/lab/src/output.rs
+++ b/crates/lab/src/output.rs
@@ -1,5 +1,6 @@
 //! The files of a run.
 
+use crate::hollow::HollowReport;
 use crate::report::{Report, FORMAT};
 use crate::{markdown, plot, Failure};
 use std::fs;
@@ -18,6 +19,22 @@
     plot::draw(report, &folder.join("scale.png"))
 }
 
+/// Writes the report of a run with hollow mixers to `file` as JSON, and its tables beside it with the ending `md`.
+///
+/// # Errors
+/// A file that cannot be written.
+pub fn write_hollow(report: &HollowReport, file: &Path) -> Result<(), Failure> {
+    if let Some(folder) = file.parent() {
+        fs::create_dir_all(folder).map_err(|e| unwritten(folder, e))?;
+    }
+    let json = serde_json::to_string_pretty(report).map_err(Failure::running)? + "\n";
+    fs::write(file, json).map_err(|e| unwritten(file, e))?;
+    let page = file.with_extension("md");
+    let machine = markdown::machine(&report.machine);
+    let text = format!("# Hollow mixers\n\n{machine}.\n\n{}\n`{}`\n", report.markdown(), report.summary());
+    fs::write(&page, text).map_err(|e| unwritten(&page, e))
+}
+
 fn put(folder: &Path, name: &str, text: &str) -> Result<(), Failure> {
     let path = folder.join(name);
     fs::write(&path, text).map_err(|e| unwritten(&path, e))
--- a/crates/lab/src/settings.rs
+++ b/crates/lab/src/settings.rs
@@ -1,12 +1,13 @@
 //! The lab's settings: one INI file, checked against a schema; the defaults hold without it.
 
+use crate::hollow::HOLLOW;
 use crate::scale::settings::SCALE;
 use crate::{logs, Failure};
 use cottonhill_ini::{Schema, Settings};
 use std::path::Path;
 
 /// All that a settings file of the lab may hold.
-pub const SCHEMA: Schema = Schema(&[logs::SECTION, SCALE]);
+pub const SCHEMA: Schema = Schema(&[logs::SECTION, SCALE, HOLLOW]);
 
 /// Reads the settings in `path`; the defaults without one.
 ///
