Change a zone's 7,333 entries at once in the hollow runs; report peak memory, calls

Cause: the size to plan for loses 7,333 servers with a zone; a fifteenth of a small list is not that.

--- a/crates/lab/src/hollow/mod.rs
+++ b/crates/lab/src/hollow/mod.rs
@@ -17,7 +17,7 @@
 pub use settings::{HollowSettings, Way, HOLLOW};
 
 use crate::machine::Machine;
-use crate::meter::resident_bytes;
+use crate::meter::{peak_resident_bytes, resident_bytes};
 use crate::report::Outcome;
 use crate::scale::child;
 use crate::Failure;
@@ -171,7 +171,7 @@
         let Cost { whole_messages, bytes_per_whole_message, .. } = start.cost;
         point.outcome = Outcome::Refused;
         point.note = format!(
-            "no mixer takes the list of {bytes_per_whole_message:.0} bytes, sent {whole_messages} times"
+            "refused: no mixer takes the list of {bytes_per_whole_message:.0} bytes, sent {whole_messages} times"
         );
         return point;
     }
@@ -179,12 +179,12 @@
         return cut(point, "the start");
     }
     point.rest = Some(steps::rest(&fleet, settings.rest_time).await);
-    point.resident_bytes = resident_bytes();
+    (point.resident_bytes, point.peak_resident_bytes) = (resident_bytes(), peak_resident_bytes());
     point.change = Some(steps::changes(&mut fleet, entries, settings).await);
     for rate in &settings.rates {
         point.rates.push(steps::rate(&mut fleet, entries, *rate, settings).await);
     }
-    point.zone = Some(steps::zone(&mut fleet, entries, settings.step_time).await);
+    point.zone = Some(steps::zone(&mut fleet, entries, settings).await);
     point.back = Some(steps::back(&mut fleet, entries, settings).await);
     point.silence = Some(steps::silence(&mut fleet, entries, settings.step_time).await);
     match lagging(&point) {
--- a/crates/lab/src/hollow/report.rs
+++ b/crates/lab/src/hollow/report.rs
@@ -92,6 +92,8 @@
     pub note: String,
     /// Resident memory of the process with all mixers at rest, in bytes, discovery included.
     pub resident_bytes: u64,
+    /// The most that it had held until then, while it read and took the list.
+    pub peak_resident_bytes: u64,
     /// From nothing to the whole list; delays count from each mixer's own start.
     pub start: Option<Step>,
     /// Over the rest time, without changes.
@@ -115,6 +117,7 @@
             outcome,
             note,
             resident_bytes: 0,
+            peak_resident_bytes: 0,
             start: None,
             rest: None,
             change: None,
@@ -155,8 +158,8 @@
 /// Columns of the table of costs.
 const COSTS: &str = "\
 | mixers | entries | way | whole list, B | change, B | us a mixer and change | zone, B a mixer | zone, us a mixer | \
-calls in 100 ms after the return | resident, MB |
-| ---: | ---: | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: |
+calls after the return | most calls in 100 ms | resident, MB | peak, MB |
+| ---: | ---: | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |
 ";
 /// Columns of the table of steady rates.
 const RATES: &str = "\
@@ -218,14 +221,17 @@
         step.cost.processor_us_per_mixer / changes.max(1.0)
     };
     let zone = point.zone.as_ref().map(|zone| &zone.step.cost);
+    let back = point.back.as_ref().map(|back| &back.step.cost);
     let cells = [
         number(start.map(|cost| cost.bytes_per_whole_message)),
         number(change.map(|step| step.cost.bytes_per_change_message)),
         number(change.map(each)),
         number(zone.map(|cost| cost.socket_bytes_per_mixer)),
         number(zone.map(|cost| cost.processor_us_per_mixer)),
-        point.back.as_ref().map_or("-".into(), |back| back.peak_calls_per_100_ms.to_string()),
+        number(back.map(|cost| (cost.list_calls + cost.watch_calls) as f64)),
+        point.back.map_or("-".into(), |back| back.peak_calls_per_100_ms.to_string()),
         number(Some(point.resident_bytes as f64 / 1e6)),
+        number(Some(point.peak_resident_bytes as f64 / 1e6)),
     ];
     format!("| {mixers} | {entries} | {way} | {} |\n", cells.join(" | "))
 }
--- a/crates/lab/src/hollow/servers.rs
+++ b/crates/lab/src/hollow/servers.rs
@@ -32,7 +32,7 @@
     (0..entries).map(|number| entry(number, 0, "up")).collect()
 }
 
-/// The entries of a zone's servers, each started again: a fifteenth of the list.
-pub(super) fn zone_restarted(entries: u64, start: u64) -> Vec<Value> {
-    (0..entries).filter(|number| number % ZONES == 0).map(|number| entry(number, start, "up")).collect()
+/// The first entries of the list, each of a server that has started again.
+pub(super) fn restarted(entries: u64, start: u64) -> Vec<Value> {
+    (0..entries).map(|number| entry(number, start, "up")).collect()
 }
--- a/crates/lab/src/hollow/settings.rs
+++ b/crates/lab/src/hollow/settings.rs
@@ -32,6 +32,12 @@
         key("changes", Kind::Count(1, 10_000), "20", "Changes of one entry, one after another."),
         key("rates", Kind::Text, "1.8, 20", "Changes a second, at a steady rate."),
         key("rate_time", Kind::Time, "5s", "How long each rate is kept up."),
+        key(
+            "zone_entries",
+            Kind::Count(1, MOST_ENTRIES),
+            "7333",
+            "Entries of a zone, changed at once; all where the list has fewer.",
+        ),
         key("rest_time", Kind::Time, "2s", "How long the cost of a fleet at rest is measured."),
         key("absent_time", Kind::Time, "2s", "How long discovery is gone before it returns."),
         key("step_time", Kind::Time, "30s", "The longest that one step waits for the last mixer."),
@@ -82,6 +88,7 @@
     /// Changes a second.
     pub rates: Vec<f64>,
     pub rate_time: Duration,
+    pub zone_entries: u64,
     pub rest_time: Duration,
     pub absent_time: Duration,
     pub step_time: Duration,
@@ -118,6 +125,7 @@
             rates: rates
                 .ok_or_else(|| problem("rates", "has to be numbers above 0 up to 1000, as in 1.8, 20"))?,
             rate_time: time("rate_time"),
+            zone_entries: count("zone_entries"),
             rest_time: time("rest_time"),
             absent_time: time("absent_time"),
             step_time: time("step_time"),
--- a/crates/lab/src/hollow/steps.rs
+++ b/crates/lab/src/hollow/steps.rs
@@ -2,7 +2,7 @@
 
 use super::fleet::{wait, Fleet};
 use super::report::{Cost, RateStep, ReturnStep, Spread, Step, ZoneStep};
-use super::servers::{entry, zone_restarted};
+use super::servers::{entry, restarted};
 use super::settings::HollowSettings;
 use cottonhill_standins::discovery::{Traffic, Version};
 use std::time::{Duration, Instant};
@@ -142,12 +142,12 @@
     }
 }
 
-/// The servers of a zone start again, all in one change.
-pub(super) async fn zone(fleet: &mut Fleet, entries: u64, most: Duration) -> ZoneStep {
-    let lines = zone_restarted(entries, fleet.next_change());
+/// As many servers as a zone has start again, all in one change.
+pub(super) async fn zone(fleet: &mut Fleet, entries: u64, settings: &HollowSettings) -> ZoneStep {
+    let lines = restarted(entries.min(settings.zone_entries), fleet.next_change());
     let (before, changed_entries) = (Reading::of(fleet), lines.len() as u64);
     let version = fleet.change(lines);
-    ZoneStep { changed_entries, step: finish(fleet, &before, version, most).await }
+    ZoneStep { changed_entries, step: finish(fleet, &before, version, settings.step_time).await }
 }
 
 /// Discovery is gone, changes one entry and returns.
--- a/crates/lab/tests/hollow.rs
+++ b/crates/lab/tests/hollow.rs
@@ -12,7 +12,7 @@
 /// After a return each mixer asks once; as many again is room for one that was cut off while it asked.
 const CALLS_PER_MIXER: u64 = 2;
 
-const SMALL: &str = "[hollow]\nthreads = 2\nchanges = 4\nrates = 20\nrate_time = 400ms\nrest_time = 200ms\n\
+const SMALL: &str = "[hollow]\nthreads = 2\nchanges = 4\nrates = 20\nrate_time = 400ms\nzone_entries = 200\nrest_time = 200ms\n\
     absent_time = 300ms\nstep_time = 15s\n";
 
 fn read(text: &str) -> Result<HollowSettings, Failure> {
@@ -50,7 +50,7 @@
     let rate = &point.rates[0];
     assert_eq!((rate.changes, rate.step.in_force.samples), (8, 8 * MIXERS));
     let zone = point.zone.unwrap();
-    assert_eq!(zone.changed_entries, point.entries / 15);
+    assert_eq!(zone.changed_entries, 200);
     assert_eq!((zone.step.cost.change_messages, zone.step.cost.whole_messages), (MIXERS, 0));
 
     let back = point.back.unwrap();
@@ -67,7 +67,10 @@
 
 #[test]
 fn each_mixer_holds_the_last_version_and_a_change_costs_the_same_whatever_the_list() {
-    let (small, large) = (point(300, Way::Asked), point(3_000, Way::Asked));
+    let (small, large) = std::thread::scope(|scope| {
+        let large = scope.spawn(|| point(3_000, Way::Asked));
+        (point(300, Way::Asked), large.join().unwrap())
+    });
     [&small, &large].into_iter().for_each(check);
     let bytes = |point: &HollowPoint| point.change.unwrap().cost.bytes_per_change_message;
     assert!((bytes(&large) - bytes(&small)).abs() <= DIGITS, "{} and {}", bytes(&small), bytes(&large));
