--- a/crates/lab/src/hollow/steps.rs
+++ b/crates/lab/src/hollow/steps.rs
@@ -150,12 +150,17 @@
     ZoneStep { changed_entries, step: finish(fleet, &before, version, settings.step_time).await }
 }
 
-/// Discovery is gone, changes one entry and returns.
-pub(super) async fn back(fleet: &mut Fleet, entries: u64, settings: &HollowSettings) -> ReturnStep {
+/// Discovery is gone, changes one entry and returns, with or without the changes that led to its list.
+pub(super) async fn back(
+    fleet: &mut Fleet, entries: u64, history: bool, settings: &HollowSettings,
+) -> ReturnStep {
     let before = Reading::of(fleet);
     fleet.discovery.set_absent(true);
     sleep(settings.absent_time).await;
     let version = change_one(fleet, entries);
+    if !history {
+        fleet.discovery.forget_changes();
+    }
     let absent_ms = before.at.elapsed().as_secs_f64() * 1e3;
     fleet.progress.announce(version, Instant::now());
     let mut last = fleet.discovery.traffic();
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -108,7 +108,7 @@
     let program = std::env::current_exe().map_err(Failure::running)?;
     let report = hollow::run(&program, &hollow)?;
     output::write_hollow(&report, out)?;
-    println!("{}", report.markdown());
+    println!("{}", hollow::tables::page(&report));
     println!("{}", report.summary());
     Ok(())
 }
--- a/crates/lab/src/markdown.rs
+++ b/crates/lab/src/markdown.rs
@@ -7,9 +7,10 @@
 use comfy_table::Table;
 use std::collections::BTreeSet;
 
-const NOTHING: &str = "-";
+/// What stands where there is no value.
+pub(crate) const NOTHING: &str = "-";
 
-fn table<'a>(header: impl IntoIterator<Item = &'a str>) -> Table {
+pub(crate) fn table<'a>(header: impl IntoIterator<Item = &'a str>) -> Table {
     let mut table = Table::new();
     table.load_preset(ASCII_MARKDOWN).set_header(header);
     table
--- a/crates/lab/src/output.rs
+++ b/crates/lab/src/output.rs
@@ -1,6 +1,6 @@
 //! The files of a run.
 
-use crate::hollow::HollowReport;
+use crate::hollow::{self, HollowReport};
 use crate::report::{Report, FORMAT};
 use crate::{markdown, plot, Failure};
 use std::fs;
@@ -31,7 +31,11 @@
     fs::write(file, json).map_err(|e| unwritten(file, e))?;
     let page = file.with_extension("md");
     let machine = markdown::machine(&report.machine);
-    let text = format!("# Hollow mixers\n\n{machine}.\n\n{}\n`{}`\n", report.markdown(), report.summary());
+    let text = format!(
+        "# Hollow mixers\n\n{machine}.\n\n{}\n`{}`\n",
+        hollow::tables::page(report),
+        report.summary()
+    );
     fs::write(&page, text).map_err(|e| unwritten(&page, e))
 }
 
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -129,6 +129,11 @@
         self.present.send_replace(!absent);
     }
 
+    /// Forgets its changes, as a restart does, and keeps the list: whoever holds an older version is given it whole.
+    pub fn forget_changes(&self) {
+        self.change(|list| list.table.forget_changes());
+    }
+
     /// Whether lists come on many lines each.
     pub fn set_indented(&self, indented: bool) {
         self.change(|list| list.table.set_indented(indented));
--- a/crates/standins/src/discovery/table.rs
+++ b/crates/standins/src/discovery/table.rs
@@ -75,6 +75,13 @@
         }
     }
 
+    /// Forgets which changes led to the present version, as a restart does: whoever holds another one is given the
+    /// whole list.
+    pub fn forget_changes(&mut self) {
+        self.changes.clear();
+        self.forget_messages();
+    }
+
     fn forget_messages(&mut self) {
         self.whole = None;
         self.since.clear();
--- a/crates/standins/tests/discovery.rs
+++ b/crates/standins/tests/discovery.rs
@@ -75,6 +75,9 @@
     assert!(table.since(Some(1)).whole);
     let last = table.version() - 1;
     assert!(!table.since(Some(last)).whole);
+    table.forget_changes();
+    assert!(table.since(Some(last)).whole);
+    assert!(!table.since(Some(last + 1)).whole, "who is up to date needs none");
 }
 
 #[tokio::test]
