End the first of two steps in time for a query that comes right before its target

Cause: the end of the first step was reckoned as half of the time between arrival and the target less two timer intervals, which is negative for a query that comes within them: a panic with overflow checks, an end far in the future without. Change: such a step has no time left. Result: a test of such a query passes and was seen failing with the subtraction as it was (attempt to subtract with overflow).

--- a/crates/decisions/src/coordinator/answering.rs
+++ b/crates/decisions/src/coordinator/answering.rs
@@ -112,7 +112,7 @@
     fn step_end(&self, query: &Query) -> Nanos {
         let end = query.target.saturating_sub(SPARE_INTERVALS * self.timing.timer_interval);
         if query.step < self.steps_of(query) as u8 {
-            return query.arrived + (end - query.arrived) / 2;
+            return query.arrived + end.saturating_sub(query.arrived) / 2;
         }
         end
     }
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -347,6 +347,19 @@
     }
 }
 
+#[test]
+fn a_query_of_two_steps_that_comes_right_before_its_target_is_refused() {
+    let mut kind = class(2000, 0.4);
+    kind.second_step = 1;
+    let mut bed = Bed::new(settings(vec![kind]), 3);
+    let (id, group, patience, lag) = (100, 1, 3000 * MS, 1995 * MS);
+    let query = Event::Query { id, group, class: 0, tenant: 0, patience, lag, work: None, repeat: false };
+    let parts = (1..=2).map(|i| Event::Part { id: id + i, group, shard: i as u32, weight: 0.5 });
+    let actions = bed.at(0, &[query].into_iter().chain(parts).collect::<Vec<_>>());
+    let ends = [actions, bed.run(10, 3000)].concat();
+    assert_eq!(finals(&ends), ["refused"], "no time is left to answer in");
+}
+
 #[test]
 fn an_unsafe_part_that_may_have_run_is_neither_resent_nor_refused() {
     let mut kind = class(2000, 1.0);
