--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,5 +1,5 @@
 //! Runs the decision module on the simulator's wire: batches come in on standard input, replies go out on
-//! standard output. It only translates; every decision is in `src/choice.rs`.
+//! standard output. It only translates; every decision is in `cottonhill_decisions`.
 
 mod wire;
 
--- a/docs/capacity/arithmetic.py
+++ b/docs/capacity/arithmetic.py
@@ -57,9 +57,9 @@
     ("crates/mixer/src/settings.rs", r"OPEN_CAP: usize = 4096", "4,096 queries and parts may be open"),
     ("crates/mixer/src/transport/pool.rs", r"BUFFER: usize = 16 \* 1024", "a connection holds two of 16 KiB"),
     ("crates/decisions/src", r"FADE\w*: f64 = 5\.0", "what was learned fades over five targets"),
-    ("crates/decisions/src", r"SPARE_BEATS: Nanos = 2", "two beats are kept free before the target"),
-    ("crates/decisions/src", r"\w+: \(f64, f64\) = \(0\.125, 0\.4\)", "bounds of the hedging delay"),
-    ("crates/decisions/src", r"\w+: \(f64, f64\) = \(3\.0, 0\.15\)", "15% of the parts may get a second copy"),
+    ("crates/decisions/src", r"SPARE_INTERVALS: Nanos = 2", "two timer intervals are kept free before the target"),
+    ("crates/decisions/src", r"COPY_DELAY_LEAST: f64 = 0\.125;\nconst COPY_DELAY_MOST: f64 = 0\.4", "bounds of the hedging delay"),
+    ("crates/decisions/src", r"COPIES_SHARE: f64 = 0\.15", "15% of the parts may get a second copy"),
     ("crates/decisions/src", r"PROBE_SHARE: f64 = 0\.1", "probes go out from a tenth suspected on"),
 ]
 
@@ -214,10 +214,10 @@
     return table(
         ["of 69 ms", "ms"],
         ["margin for the ways to the client and back", f"{MARGIN_S * 1e3:.0f}"],
-        [f"a beat: the larger of two ticks ({TICK_S * 1e3:.0f} ms each) and 1/200 of the target", f"{beat * 1e3:.0f}"],
+        [f"a timer interval: the larger of two ticks ({TICK_S * 1e3:.0f} ms each) and 1/200 of the target", f"{beat * 1e3:.0f}"],
         ["so a query that needs every part is given up after", f"{left * 1e3:.0f}"],
         ["delay before a second copy, bounds", f"{low * 1e3:.1f} to {high * 1e3:.1f}"],
-        ["so a second copy has at least, if the latest beat starts it", f"{(left - high - beat) * 1e3:.1f}"],
+        ["so a second copy has at least, if the latest interval starts it", f"{(left - high - beat) * 1e3:.1f}"],
     )
 
 
@@ -293,7 +293,7 @@
                      f"{number(allowance * mixers / MIXERS)} ({mixers / MIXERS:.0%})"])
     return table(["who sends to it", "mixers", f"parts a mixer in {FALL_S:g} s, of N = {number(allowance)}",
                   "standard deviation of the sum", "deviations to N + 2 root(N) + 2, fleet at full load", "at 80% load",
-                  "sum that `cold_room` gives"], *rows)
+                  "sum that `slow_start_room` gives"], *rows)
 
 
 def regions():
@@ -313,7 +313,7 @@
         ["if discovery removes what it cannot reach", f"{number(lost)} entries, {as_bytes(size(lost))} a mixer",
          f"and as many at the return; {of(times(size(lost), 1 / CONTROL_BYTES), 's')} each at 24 KB/s"],
         ["probes once a tenth is suspected, each mixer", f"{number(PROBES)} every {FADE_S * 1e3:.0f} ms",
-         f"`probe_round`: all not met for one target; `evict` walks {LINKS} connections for each"],
+         f"`probe_silent`: all not met for one target; `evict` walks {LINKS} connections for each"],
     )
 
 
@@ -362,7 +362,7 @@
         ["with sockets and parsing", f"{of(sockets, 'cores')} (S17)", "1 core", verdict(sockets, 1.0),
          "event loop, one thread", "`mixer/src/transport`"],
         ["69 ms at p99", f"leaf servers' p{100 * (1 - LATE_SHARE):.3f}", "69 ms less the mixer's share",
-         verdict(None, 0), "hedged requests with a cap", "`push_on`, `copies_left` in `choice.rs`"],
+         verdict(None, 0), "hedged requests with a cap", "`coordinator/retries.rs`"],
         ["open queries and parts", number(open_parts), f"{OPEN_CAP:,} (`open_cap`)", verdict(open_parts, OPEN_CAP),
          "admission control", "`state/clients.rs`"],
         ["connections to leaf servers", f"{number(LEAVES)} (full mesh)", number(LINKS), verdict(LEAVES, LINKS),
@@ -401,14 +401,14 @@
     return [
         ["**Leaf server**: parts", f"{number(LEAF_RATE)} /s, to {number(LEAF_RATE * (1 + HEDGE_CAP))} with copies",
          "not told", verdict(None, 0), "load shedding by refusal, retry budget",
-         "`hopeless`, `budget_left` in `choice.rs`"],
+         "`coordinator/admission.rs`, `retries.rs`"],
         ["connections", f"{number(MIXERS)} (full mesh)", "not told", verdict(None, 0), "deterministic subsetting",
          "missing"],
         ["cold start", "one part in 4 to 5 mixers, by chance", "N + 2 root(N) + 2",
          "**fits** by arithmetic below full load; tested to 300 mixers", "slow start, randomised rounding",
-         "`cold_room`, `take_turns`; wrong with subsetting"],
+         "`slow_start_room`, `renew_turns`; wrong with subsetting"],
         ["probes, a tenth suspected", f"{number(PROBES)} a mixer at once", f"{LINKS} connections",
-         verdict(PROBES, LINKS), "probe budget, outlier ejection", "missing: `probe_round` has no bound"],
+         verdict(PROBES, LINKS), "probe budget, outlier ejection", "missing: `probe_silent` has no bound"],
     ]
 
 
