--- a/Makefile
+++ b/Makefile
@@ -32,9 +32,11 @@
 prove-opensearch: build
 	exec target/release/cottonhill-prove-opensearch $(ARGS)
 
-# Cost against size, on the reducer without sockets, into docs/capacity/; ARGS="--against REPORT" compares.
+# Cost against size into docs/capacity/: mixers without clients over loopback, then the reducer without sockets.
+# ARGS="--against REPORT" compares the latter. Then docs/capacity/arithmetic.py --write renews docs/CAPACITY.md.
 scale:
 	cargo build --release --locked --package cottonhill-lab
+	target/release/cottonhill-lab --settings lab/scale.ini hollow
 	exec target/release/cottonhill-lab --settings lab/scale.ini scale $(ARGS)
 
 # What the bench wants beside a site file, for a play of the project's own deployments; git ignores it.
