--- a/docs/capacity/arithmetic.py
+++ b/docs/capacity/arithmetic.py
@@ -114,7 +114,7 @@
 
 
 def share_of_core(x):
-    return NOT_KNOWN if x is None else f"{x:.2%} of a core"
+    return NOT_KNOWN if x is None else f"{number(100 * x)}% of a core"
 
 
 def reload_share():
