--- a/review/standins/bed.py
+++ b/review/standins/bed.py
@@ -56,6 +56,12 @@
     return hashlib.sha256(f"{shard}:{text}".encode()).hexdigest()[:16]
 
 
+def error_value():
+    """The well-formed error body of an index node that can't search just now."""
+    reason = {"type": "search_phase_execution_exception", "reason": "the index is being reopened"}
+    return json.dumps({"error": dict(reason, root_cause=[reason]), "status": 500})
+
+
 def search_value(shard):
     """The result of a search at one shard: one document."""
     hit = {"_id": f"d{shard}", "_score": 1.0, "_source": {"shard": shard}}
@@ -72,6 +78,7 @@
         self.name = f"s-{cell:02d}"
         self.slots = asyncio.Semaphore(cores)
         self.hung = False
+        self.error_bodies = False
         self.begun = []
         self.tasks = set()
 
@@ -131,7 +138,9 @@
             if self.hung:
                 return
             value = search_value(shard) if text.startswith("{") else native_value(shard, text)
-            self.record.write(f"leaf {self.name} ran part {part}")
+            if self.error_bodies:
+                value = error_value()
+            self.record.write(f"leaf {self.name} ran part {part}: {'an error body' if self.error_bodies else 'a result'}")
             try:
                 writer.write(self.frame(b"A", f"{part} ok 1 -\n{value}".encode()))
             except ConnectionError:
@@ -217,10 +226,11 @@
 class Bed:
     """Twelve leaf servers in a ring, the agent and one mixer, with the search front if `ini` enables it."""
 
-    def __init__(self, folder, work=0.17, semantics="read_like", index=None):
-        self.folder, self.work, self.semantics, self.index = folder, work, semantics, index
+    def __init__(self, folder, work=0.17, semantics="read_like", index=None, ledger=None):
+        # `ledger` is the text of further sections of the settlement's settings; with it, usage is recorded.
+        self.folder, self.work, self.semantics, self.index, self.ledger = folder, work, semantics, index, ledger
         self.record = Record(folder)
-        self.process = None
+        self.process = self.settlement = None
         self.temp = tempfile.mkdtemp(prefix="review-")
 
     async def start(self):
@@ -243,9 +253,20 @@
             environment["COTTONHILL_SETTINGS"] = os.path.join(self.temp, "cottonhill.ini")
             with open(environment["COTTONHILL_SETTINGS"], "w", encoding="utf-8") as file:
                 file.write(f"[opensearch]\nlisten = {IP}:{self.search_port}\n{self.index}")
+                if self.ledger:
+                    usage_port = free_port()
+                    file.write(f"\n[usage]\ndirectory = {self.temp}/usage\nlisten = {IP}:{usage_port}\n")
         log = open(os.path.join(self.temp, "log"), "wb")
         self.process = await asyncio.create_subprocess_exec("/bin/sh", "-c", run_line(), cwd=ROOT, env=environment,
                                                             stdout=log, stderr=log)
+        if self.ledger:
+            self.ledger_ini = os.path.join(self.temp, "ledger.ini")
+            with open(self.ledger_ini, "w", encoding="utf-8") as file:
+                file.write(f"[settlement]\nstore = {self.temp}/ledger.sqlite\n"
+                           f"[member n0]\naddress = {IP}:{usage_port}\n{self.ledger}")
+            self.settlement = await asyncio.create_subprocess_exec(
+                os.path.join(ROOT, "target/release/cottonhill"), "ledger", "serve", "--settings", self.ledger_ini,
+                cwd=ROOT, stdout=log, stderr=log)
         for _ in range(100):
             await asyncio.sleep(0.1)
             if self.process.returncode is not None:
@@ -266,10 +287,19 @@
         self.record.write(f"{signal.Signals(number).name} to the mixer")
         self.process.send_signal(number)
 
+    async def ledger_command(self, *arguments):
+        """Runs a command of the ledger and returns its JSON; None if it fails."""
+        command = await asyncio.create_subprocess_exec(
+            os.path.join(ROOT, "target/release/cottonhill"), "ledger", *arguments, "--format", "json", "--settings",
+            self.ledger_ini, cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL)
+        out, _ = await command.communicate()
+        return json.loads(out) if command.returncode == 0 and out.strip() else None
+
     async def stop(self):
-        if self.process and self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
+        for process in (self.settlement, self.process):
+            if process and process.returncode is None:
+                process.kill()
+                await process.wait()
         with open(os.path.join(self.temp, "log"), encoding="utf-8", errors="replace") as log:
             for line in log.read().splitlines()[-40:]:
                 self.record.write(f"mixer's log: {line}")
@@ -290,7 +320,7 @@
     async def main():
         try:
             return await asyncio.wait_for(case(folder), 110)
-        except (CannotRun, asyncio.TimeoutError) as error:
+        except Exception as error:  # a fault of the test itself must not look like a broken rule
             print(f"could not run: {error!r}")
             return None
     breaks = asyncio.run(main())
