--- a/review/standins/bed.py
+++ b/review/standins/bed.py
@@ -71,15 +71,12 @@
 class Leaf:
     """One leaf server. `work` is the time for a part; `cores` parts are worked on at once, the others wait."""
 
-    def __init__(self, record, cell, work, resets, cores=2):
-        # `resets` is shared by the leaf servers: the connection of the next part that has begun is reset once for each
-        # entry.
-        self.record, self.cell, self.work, self.resets = record, cell, work, resets
+    def __init__(self, record, cell, work, cores=2):
+        self.record, self.cell, self.work = record, cell, work
         self.name = f"s-{cell:02d}"
         self.slots = asyncio.Semaphore(cores)
         self.hung = False
         self.error_bodies = False
-        self.begun = []
         self.tasks = set()
 
     async def start(self):
@@ -127,14 +124,8 @@
             if self.hung:
                 self.record.write(f"leaf {self.name} hangs and does not answer part {part}")
                 return
-            self.begun.append(part)
             self.record.write(f"leaf {self.name} began to run part {part}")
-            await asyncio.sleep(self.work / 2)
-            if self.resets and self.resets.pop():
-                self.record.write(f"leaf {self.name}: the connection of part {part} is reset before the answer")
-                reset(writer)
-                return
-            await asyncio.sleep(self.work / 2)
+            await asyncio.sleep(self.work)
             if self.hung:
                 return
             value = search_value(shard) if text.startswith("{") else native_value(shard, text)
@@ -147,14 +138,6 @@
                 pass
 
 
-def reset(writer):
-    """Closes a connection with a reset."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
-    writer.transport.abort()
-
-
 class Agent:
     """Discovery's agent: the whole list, and a watch with an empty line every 2 s. The list does not change."""
 
@@ -186,11 +169,11 @@
             writer.close()
 
 
-def settings(semantics="read_like"):
-    """Settings in the form and with the figures of the published example; `semantics` is the effect of all classes."""
+def settings():
+    """Settings in the form and with the figures of the published example."""
     def klass(name, give_up, importance, late):
         return {"name": name, "aim_ns": 2500 * MS, "give_up_ns": give_up * MS, "dedup_window_ns": 5000 * MS,
-                "group": "all", "importance": importance, "late_value": late, "semantics": semantics, "stream": False}
+                "group": "all", "importance": importance, "late_value": late, "semantics": "read_like", "stream": False}
     return {
         "classes": [klass("catalogue-report", 5000, 5.0, 0.0), klass("track-lookup", 5000, 1.0, 0.0),
                     klass("chart-ranking", 6000, 5.0, 0.3)],
@@ -224,18 +207,20 @@
 
 
 class Bed:
-    """Twelve leaf servers in a ring, the agent and one mixer, with the search front if `ini` enables it."""
+    """Twelve leaf servers in a ring, the agent and one mixer.
+
+    `index` is the text of the sections of the indices that the search front serves; `ledger` the text of further
+    sections of the settlement's settings, with which the mixer records usage and a settlement collects it.
+    """
 
-    def __init__(self, folder, work=0.17, semantics="read_like", index=None, ledger=None):
-        # `ledger` is the text of further sections of the settlement's settings; with it, usage is recorded.
-        self.folder, self.work, self.semantics, self.index, self.ledger = folder, work, semantics, index, ledger
+    def __init__(self, folder, work=0.17, index=None, ledger=None):
+        self.folder, self.work, self.index, self.ledger = folder, work, index, ledger
         self.record = Record(folder)
         self.process = self.settlement = None
         self.temp = tempfile.mkdtemp(prefix="review-")
 
     async def start(self):
-        self.resets = []
-        self.leaves = [Leaf(self.record, cell, self.work, self.resets) for cell in range(CELLS)]
+        self.leaves = [Leaf(self.record, cell, self.work) for cell in range(CELLS)]
         for leaf in self.leaves:
             await leaf.start()
         agent = Agent([leaf.entry() for leaf in self.leaves])
@@ -243,7 +228,7 @@
         self.port, self.search_port = free_port(), free_port()
         config = {"name": "n0", "listen": f"{IP}:{self.port}", "discovery": f"{IP}:{agent.port}",
                   "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-                  "known": agent.list, "settings": settings(self.semantics)}
+                  "known": agent.list, "settings": settings()}
         path = os.path.join(self.temp, "config.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(config, file)
@@ -318,9 +303,11 @@
 def run(case, folder):
     """Runs a case; `case` returns the breaks of the rule that it saw."""
     async def main():
+        # A case that is ended early still ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             return await asyncio.wait_for(case(folder), 110)
-        except Exception as error:  # a fault of the test itself must not look like a broken rule
+        except (Exception, asyncio.CancelledError) as error:  # a fault of the test itself must not look like a broken rule
             print(f"could not run: {error!r}")
             return None
     breaks = asyncio.run(main())
--- a/review/standins/front.py
+++ b/review/standins/front.py
@@ -6,8 +6,9 @@
 
 
 def search_request(path, body, tenant="ceylon-sound", retry=False):
+    mark = "X-Retried: 1\r\n" if retry else ""
     head = (f"POST {path} HTTP/1.1\r\nHost: search\r\nX-Tenant-Id: {tenant}\r\nContent-Type: application/json\r\n"
-            f"{'X-Retried: 1' + chr(13) + chr(10) if retry else ''}Content-Length: {len(body)}\r\n\r\n")
+            f"{mark}Content-Length: {len(body)}\r\n\r\n")
     return head.encode() + body
 
 
@@ -25,7 +26,8 @@
     writer.write(request)
     await writer.drain()
     sent = bed.record.now()
-    bed.record.write(f"{name}: last byte written")
+    line, body = request.split(b"\r\n", 1)[0].decode(), request.split(b"\r\n\r\n", 1)[1]
+    bed.record.write(f"{name}: last byte written of {line}, body of {len(body)} bytes: {body[:80]!r}")
     try:
         status, body, _ = await asyncio.wait_for(read_response(reader), patience)
         bed.record.write(f"{name}: answered with {status} after {bed.record.now() - sent:.3f} s: {body[:300].decode()}")
