Log the search front's full connection limit and requests without a response

Two lines are new: one when the front stops accepting because its connection limit is reached, one when a request ends without a response.

--- a/crates/opensearch/src/front/mod.rs
+++ b/crates/opensearch/src/front/mod.rs
@@ -56,6 +56,12 @@
     });
     tokio::task::spawn_local(async move {
         loop {
+            if permits.available_permits() == 0 {
+                tracing::info!(
+                    connections = context.front.max_connections,
+                    "connection limit reached, further connections wait in the backlog"
+                );
+            }
             let Ok(permit) = permits.clone().acquire_owned().await else {
                 return;
             };
--- a/crates/opensearch/src/front/request.rs
+++ b/crates/opensearch/src/front/request.rs
@@ -36,12 +36,30 @@
     }
 }
 
+/// Logs a request that ends without a response: its client has disconnected, or the mixer has exited.
+struct ResponseCheck {
+    address: IpAddr,
+    responded: bool,
+}
+
+impl Drop for ResponseCheck {
+    fn drop(&mut self) {
+        if !self.responded {
+            tracing::info!(address = %self.address, "search request ended without a response");
+        }
+    }
+}
+
 /// Handles one request; errors are responses, too.
 pub(super) async fn handle(
     context: &Rc<Context>,
     peer: Peer,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
+    let mut response_check = ResponseCheck {
+        address: peer.address,
+        responded: false,
+    };
     let received_at = context.queries.now();
     let head = request.method() == Method::HEAD;
     let (parts, body) = request.into_parts();
@@ -86,6 +104,7 @@
     if let Some(opaque_id) = opaque_id {
         response.headers_mut().insert("x-opaque-id", opaque_id);
     }
+    response_check.responded = true;
     response
 }
 
