Let only admitted requests hold a place of the search front's connection limit

Cause: a connection held one of 64 permits from its accept to its end, 60 s without a request, and nothing was accepted without a permit. Evidence: the listener's backlog holds one connection with 64 silent ones and 87 with 150, none with 63; 76 of 1,024 descriptors are open, no accept fails.

Now a place is held from a request's last byte to the end of its response (ConnectionTable). Every other connection can be closed for a new one, and a request beyond the limit gets 429 at once on one of 16 further connections, which no admitted request can hold. So whatever clients do without a complete request, others get in. A request has 2 s from its first byte, the first one from the accept (before: 60 s for a head, then 2 s for a body), and a response 5 s to be written (before: no limit). Found on the way by the tests: waiting for an end at the limit without closing any connection, and a pipelining client that cancels its own closing by its next request.

--- a/crates/opensearch/src/front/request.rs
+++ b/crates/opensearch/src/front/request.rs
@@ -1,7 +1,10 @@
 //! One HTTP request: reads and decompresses its body, and writes and compresses its response.
 
+use super::connection::Peer;
+use super::connections::Admission;
 use super::route::route;
-use super::{Context, Peer};
+use super::tracked_connection::TrackedConnection;
+use super::Context;
 use crate::gzip::{self, MIN_COMPRESSED_BYTES};
 use crate::response::{self, RestResponse};
 use crate::tenant;
@@ -9,17 +12,18 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{
-    HeaderMap, HeaderValue, ACCEPT_ENCODING, CONTENT_ENCODING, CONTENT_TYPE, RETRY_AFTER,
+    HeaderMap, HeaderValue, ACCEPT_ENCODING, CONNECTION, CONTENT_ENCODING, CONTENT_TYPE,
+    RETRY_AFTER,
 };
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{timeout_at, Instant};
 
-/// A request's body has to be complete within this time of its head.
-const BODY_TIMEOUT: Duration = Duration::from_secs(2);
+/// The delay after which a client may retry a request that exceeds the connection limit.
+const REFUSED_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// The client of a request: its headers, its address and the common name of its certificate.
 #[derive(Clone)]
@@ -55,6 +59,7 @@
     context: &Rc<Context>,
     peer: Peer,
     request: Request<Incoming>,
+    connection: &TrackedConnection,
 ) -> Response<Full<Bytes>> {
     let mut response_check = ResponseCheck {
         address: peer.address,
@@ -66,8 +71,10 @@
     let accepts_gzip = header_text(&parts.headers, ACCEPT_ENCODING.as_str())
         .is_some_and(|encodings| encodings.contains("gzip"));
     let opaque_id = parts.headers.get("x-opaque-id").cloned();
-    let mut response = match read_body(context, &parts, body).await {
+    let body = read_body(context, &parts, body, connection.deadline()).await;
+    let mut response = match body {
         Err(error) => write_response(error, head),
+        Ok(_) if connection.on_request_received() == Admission::Refused => refuse(head),
         Ok(body) => {
             let forwarded: Vec<&str> = parts
                 .headers
@@ -112,15 +119,26 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
-/// Reads the complete body and decompresses it.
+/// Refuses a request that exceeds the connection limit, and closes its connection.
+fn refuse(head: bool) -> Response<Full<Bytes>> {
+    let mut response = write_response(response::rejected(Some(REFUSED_RETRY_DELAY)), head);
+    response
+        .headers_mut()
+        .insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+/// Reads the complete body, which has to arrive by `deadline`, and decompresses it.
 async fn read_body(
     context: &Context,
     parts: &Parts,
     body: Incoming,
+    deadline: Option<Instant>,
 ) -> Result<Bytes, RestResponse> {
     let max_bytes = context.front.max_body_bytes;
     let too_large = |reason: &str| response::error(413, "illegal_argument_exception", reason);
-    let body = match timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect()).await {
+    let deadline = deadline.unwrap_or_else(Instant::now);
+    let body = match timeout_at(deadline, Limited::new(body, max_bytes).collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(_)) => {
             return Err(too_large(&format!(
--- a/crates/opensearch/src/index.rs
+++ b/crates/opensearch/src/index.rs
@@ -18,7 +18,7 @@
             "connections",
             Kind::Integer(1, 100_000),
             Some("64"),
-            "Maximum number of open connections; further ones are not accepted until one closes.",
+            "Maximum number of connections and of requests at once. Connections without a request are closed for new ones; requests beyond it are refused.",
         ),
         key("body", Kind::Bytes, Some("64KiB"), "Maximum size of a request body."),
         key(
@@ -27,7 +27,7 @@
             Some("8MiB"),
             "Maximum total size of the shards' answers to one search.",
         ),
-        key("idle", Kind::Duration, Some("60s"), "A connection without a request for this time is closed."),
+        key("idle", Kind::Duration, Some("60s"), "A connection without a further request for this time after a response is closed."),
         key("cluster", Kind::Text, Some("cottonhill"), "The cluster name in responses."),
         key(
             "tenant-by",
@@ -131,12 +131,13 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct FrontSettings {
     pub listen: SocketAddr,
-    /// Further connections are not accepted until one closes.
+    /// Maximum number of requests at the same time. Beyond as many connections, those without a request are closed for
+    /// new ones.
     pub max_connections: usize,
     pub max_body_bytes: usize,
     /// Limit on the total size of the answers of all shards to one search.
     pub max_answer_bytes: usize,
-    /// A connection without a request for this time is closed.
+    /// A connection without a further request for this time after a response is closed.
     pub idle_timeout: Duration,
     pub cluster: String,
     /// Name of the header that names the tenant, in lower case.
--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -44,6 +44,8 @@
     pub usage_log: bool,
     /// Whether mixers also serve the OpenSearch-style frontend.
     pub opensearch: bool,
+    /// Maximum number of connections to the OpenSearch-style frontend; the program's default if unset.
+    pub search_connections: Option<usize>,
     /// Sections of the settlement's settings other than its store and members.
     pub ledger_settings: String,
 }
@@ -60,6 +62,7 @@
             leaf_concurrency: 16,
             usage_log: false,
             opensearch: false,
+            search_connections: None,
             ledger_settings,
         }
     }
@@ -253,6 +256,9 @@
                     settings,
                     "\n[opensearch]\nlisten = {search_address}\ntenant-by = header-or-network\n"
                 );
+                if let Some(connections) = cluster.config.search_connections {
+                    let _ = writeln!(settings, "connections = {connections}");
+                }
                 settings += "\n[network loopback]\nprefixes = 127.0.0.0/8, ::1\ntenant = delta\n";
                 for (class, ..) in CLASSES {
                     let _ = write!(
