Exit only once the frontends have answered their requests, or at the shutdown deadline

Cause: the reducer counted a frontend's request only while one of its queries was open. Eight searches of the multi-search ended in one batch, and the exit followed before the next eight arrived. Evidence: 'shutdown complete' with 8 of 24 queries taken, and 52 ms later 'search request ended without a response'.

Now each frontend holds a FrontendGuard, and the reducer waits for Input::FrontendClosed, which follows when the frontend's listener is closed and its last connection has ended. So the exit does not depend on how a request divides into queries. At the shutdown deadline the open queries fail as before; the frontends then have 50 ms to write their last responses, further queries of the same requests are rejected at once since no time remains, and a frontend that still has connections is logged as an error in place of 'shutdown complete'. A query sent after the exit fails in place of waiting for ever.

Without frontends nothing changes.

--- a/crates/cottonhill/src/mixer/frontends.rs
+++ b/crates/cottonhill/src/mixer/frontends.rs
@@ -40,8 +40,9 @@
         "OpenSearch front listening"
     );
     let front_tls = tls.clone();
-    let start: FrontendStarter =
-        Box::new(move |queries| front::start(opensearch, front_tls, listener, queries));
+    let start: FrontendStarter = Box::new(move |queries, guard| {
+        front::start(opensearch, front_tls, listener, queries, guard)
+    });
     Ok(Frontends {
         start: vec![start],
         tls,
--- a/crates/mixer/src/reducer/batch.rs
+++ b/crates/mixer/src/reducer/batch.rs
@@ -41,6 +41,7 @@
             Timer::WatermarkDue => self.record_watermark(now),
             Timer::GracePeriodElapsed => self.begin_draining(),
             Timer::ShutdownDeadline => self.on_shutdown_deadline(now),
+            Timer::LastResponsesDue => self.exit(),
             Timer::DiscoveryTimeout => self.on_discovery_timeout(now),
             Timer::DiscoveryCaughtUp(address) => self.effects.push(Effect::WatchEndpoints {
                 address,
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -60,11 +60,6 @@
         self.0.remove(&id)
     }
 
-    /// Removes all clients.
-    pub(super) fn clear(&mut self) {
-        self.0.clear();
-    }
-
     /// Notes that a query of the client was accepted.
     pub(super) fn on_query_accepted(&mut self, id: ClientId, query: RequestId) {
         if let Some(client) = self.0.get_mut(&id) {
--- a/crates/mixer/src/reducer/effect.rs
+++ b/crates/mixer/src/reducer/effect.rs
@@ -66,5 +66,14 @@
     /// Records the time up to which the usage log is complete.
     RecordWatermark(Watermark),
     /// Ends the process.
-    Exit(Box<Counters>),
+    Exit(Box<ExitReport>),
+}
+
+/// The state of the mixer when it exits.
+#[derive(Debug, PartialEq)]
+pub struct ExitReport {
+    /// The counters since the start of the process.
+    pub counters: Counters,
+    /// The number of frontends that have not written all responses in time.
+    pub open_frontends: usize,
 }
--- a/crates/mixer/src/reducer/input.rs
+++ b/crates/mixer/src/reducer/input.rs
@@ -106,6 +106,8 @@
     ShutdownRequested,
     /// The listener is closed, and the connections in its backlog were accepted.
     ListenerClosed,
+    /// A frontend has closed its listener, answered all requests and closed its connections.
+    FrontendClosed,
     /// All pending inputs have been applied: the timers that are due fire, and the coordinator decides.
     ProcessBatch,
 }
--- a/crates/mixer/src/reducer/lifecycle.rs
+++ b/crates/mixer/src/reducer/lifecycle.rs
@@ -12,6 +12,8 @@
 const MAX_COUNTED_DEADLINE: Nanos = 3_000 * NANOS_PER_MS;
 /// How long before the earliest kill the last replies are sent.
 const LAST_REPLIES_MARGIN: Nanos = 100 * NANOS_PER_MS;
+/// How long after the shutdown deadline the frontends may write the last responses, half of [`LAST_REPLIES_MARGIN`].
+const LAST_RESPONSES_TIMEOUT: Nanos = 50 * NANOS_PER_MS;
 
 /// A phase of the start-up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +52,10 @@
     startup: StartupPhase,
     shutdown: ShutdownPhase,
     shutdown_duration: Nanos,
+    /// Whether the shutdown deadline has passed.
+    is_past_deadline: bool,
+    /// The frontends that have not closed their listener and all their connections.
+    open_frontends: usize,
 }
 
 impl Lifecycle {
@@ -60,9 +66,26 @@
             startup: StartupPhase::AwaitingDiscovery { has_ready_endpoint },
             shutdown: ShutdownPhase::Running,
             shutdown_duration: shutdown_duration(deadlines),
+            is_past_deadline: false,
+            open_frontends: 0,
         }
     }
 
+    /// Notes that a frontend was started.
+    pub(super) fn on_frontend_started(&mut self) {
+        self.open_frontends += 1;
+    }
+
+    /// Notes that a frontend has closed its listener and all its connections.
+    pub(super) fn on_frontend_closed(&mut self) {
+        self.open_frontends = self.open_frontends.saturating_sub(1);
+    }
+
+    /// The number of frontends that have not closed their listener and all their connections.
+    pub(super) fn open_frontends(&self) -> usize {
+        self.open_frontends
+    }
+
     /// Whether discovery has not confirmed the cached endpoint list yet, so that no batch is decided.
     pub(super) fn is_awaiting_discovery(&self) -> bool {
         matches!(self.startup, StartupPhase::AwaitingDiscovery { .. })
@@ -133,10 +156,18 @@
         }
     }
 
-    /// Continues the shutdown at its deadline without waiting for the listener.
-    pub(super) fn on_shutdown_deadline(&mut self) {
+    /// Continues the shutdown at its deadline without waiting for the listener. Returns until when it waits for the
+    /// frontends, or `None` if none is open.
+    pub(super) fn on_shutdown_deadline(&mut self, now: Nanos) -> Option<Nanos> {
         self.start_draining();
         self.on_listener_closed();
+        self.is_past_deadline = true;
+        (self.open_frontends > 0).then_some(now + LAST_RESPONSES_TIMEOUT)
+    }
+
+    /// Whether the shutdown deadline has passed.
+    pub(super) fn is_past_deadline(&self) -> bool {
+        self.is_past_deadline
     }
 
     /// Marks the process as exited if it is draining and its listener is closed; returns whether it did so.
--- a/crates/mixer/src/reducer/mod.rs
+++ b/crates/mixer/src/reducer/mod.rs
@@ -36,7 +36,7 @@
 mod usage_recorder;
 pub mod watch_policy;
 
-pub use effect::Effect;
+pub use effect::{Effect, ExitReport};
 pub use input::{ClientId, ConnectionId, Input, UpdateFault, WatchEvent};
 pub use probes::ProbeId;
 pub use watch_policy::WatchPolicy;
@@ -135,6 +135,12 @@
         self.discovery.limit_memory(memory);
     }
 
+    /// Notes that a frontend is being started. The process does not exit before [`Input::FrontendClosed`], except at
+    /// the shutdown deadline.
+    pub fn add_frontend(&mut self) {
+        self.lifecycle.on_frontend_started();
+    }
+
     /// The version of the current endpoint list, from which a watch resumes.
     pub fn endpoint_list_version(&self) -> u64 {
         self.replicas.version()
@@ -193,6 +199,7 @@
             Input::ConfigReloaded { discovery } => self.on_config_reloaded(now, discovery),
             Input::ShutdownRequested => self.request_shutdown(now),
             Input::ListenerClosed => self.lifecycle.on_listener_closed(),
+            Input::FrontendClosed => self.on_frontend_closed(),
             Input::ProcessBatch => self.process_batch(now),
         }
         self.flush_connections(now);
--- a/crates/mixer/src/reducer/shutdown.rs
+++ b/crates/mixer/src/reducer/shutdown.rs
@@ -1,5 +1,6 @@
 //! Graceful shutdown: the grace period, draining, and the exit.
 
+use super::effect::ExitReport;
 use super::timers::Timer;
 use super::{Effect, Reducer};
 use cottonhill_decisions::{Event, Nanos};
@@ -28,23 +29,42 @@
         }
     }
 
-    /// Fails the open queries and stops waiting for clients and the listener, since the process may be killed soon.
+    /// Notes that a frontend has closed its listener and all its connections.
+    pub(super) fn on_frontend_closed(&mut self) {
+        self.lifecycle.on_frontend_closed();
+    }
+
+    /// Fails the open queries and stops waiting for clients and the listener, since the process may be killed soon. A
+    /// frontend still writes the responses that depend on these queries; further queries of the same request are
+    /// rejected at once, since no time remains for them.
     pub(super) fn on_shutdown_deadline(&mut self, now: Nanos) {
         for id in self.queries.ids() {
             self.events.push(Event::ClientDisconnected { id });
             self.fail_query(now, id);
         }
-        self.lifecycle.on_shutdown_deadline();
-        self.clients.clear();
+        if let Some(responses_due) = self.lifecycle.on_shutdown_deadline(now) {
+            self.timers.set(responses_due, Timer::LastResponsesDue);
+        }
     }
 
-    /// Exits once every accepted query is answered, every client has disconnected and the listener is closed.
+    /// Exits once every accepted query is answered, every client has disconnected, the listener is closed, and the
+    /// frontends have answered their requests, each of which may need several queries one after another.
     pub(super) fn exit_when_drained(&mut self) {
-        let drained = self.queries.is_empty() && self.clients.is_empty();
-        if drained && self.lifecycle.exit_if_listener_closed() {
+        let clients_done = self.clients.is_empty() || self.lifecycle.is_past_deadline();
+        let frontends_done = self.lifecycle.open_frontends() == 0;
+        if clients_done && frontends_done && self.queries.is_empty() {
+            self.exit();
+        }
+    }
+
+    /// Exits, if the listener is closed.
+    pub(super) fn exit(&mut self) {
+        if self.lifecycle.exit_if_listener_closed() {
             self.record_last_watermark();
-            self.effects
-                .push(Effect::Exit(Box::new(self.counters.clone())));
+            self.effects.push(Effect::Exit(Box::new(ExitReport {
+                counters: self.counters.clone(),
+                open_frontends: self.lifecycle.open_frontends(),
+            })));
         }
     }
 }
--- a/crates/mixer/src/reducer/timers.rs
+++ b/crates/mixer/src/reducer/timers.rs
@@ -26,8 +26,10 @@
     WatermarkDue,
     /// The grace period after the shutdown request ends and draining starts.
     GracePeriodElapsed,
-    /// The shutdown must be complete.
+    /// The shutdown must be complete, but for the last responses of the frontends.
     ShutdownDeadline,
+    /// The frontends must have written their last responses.
+    LastResponsesDue,
     /// The start-up no longer waits for discovery to confirm the cached endpoint list.
     DiscoveryTimeout,
     /// Discovery at this new address has received every change that was announced before the switch.
--- a/crates/mixer/src/transport/driver.rs
+++ b/crates/mixer/src/transport/driver.rs
@@ -3,6 +3,7 @@
 
 use super::client_listener;
 use super::effects::{start_discovery_watch, EffectPerformer};
+use super::frontend::FrontendGuard;
 use super::peers::PeerSocket;
 use super::shared::{Shared, MAX_QUEUED_INPUTS, MAX_QUEUED_UPDATES};
 use super::{Addresses, Clock, Control, Integrations, PendingReplies, QueryClient};
@@ -27,7 +28,7 @@
 /// # Errors
 /// The UDP socket for datagrams of other mixers can't be bound.
 pub async fn serve(
-    reducer: Reducer,
+    mut reducer: Reducer,
     clock: Clock,
     query_schema: QuerySchema,
     listener: TcpListener,
@@ -48,7 +49,9 @@
     let from_version = Some(reducer.endpoint_list_version());
     let discovery_watch = start_discovery_watch(&shared, addresses.discovery, from_version);
     for start_frontend in integrations.frontends {
-        start_frontend(QueryClient::new(shared.clone()));
+        reducer.add_frontend();
+        let guard = FrontendGuard::new(shared.clone());
+        start_frontend(QueryClient::new(shared.clone()), guard);
     }
     let pending_replies = integrations.recorder.map(PendingReplies::new);
     let driver = Driver {
--- a/crates/mixer/src/transport/effects.rs
+++ b/crates/mixer/src/transport/effects.rs
@@ -8,9 +8,8 @@
 use super::{Addresses, ClientReply, PendingReplies};
 use crate::log_targets;
 use crate::protocol::leaf_frames::LeafRequest;
-use crate::reducer::counters::Counters;
 use crate::reducer::usage::{UsageRecord, Watermark};
-use crate::reducer::{ClientId, ConnectionId, Effect};
+use crate::reducer::{ClientId, ConnectionId, Effect, ExitReport};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use tokio::task::{spawn_local, AbortHandle};
@@ -105,7 +104,7 @@
             Effect::CloseListener => {
                 self.shared.listener_closed.send_replace(true);
             }
-            Effect::Exit(counters) => self.exit(&counters),
+            Effect::Exit(report) => self.exit(&report),
         }
     }
 
@@ -190,9 +189,14 @@
         self.discovery_watch = start_discovery_watch(&self.shared, address, from_version);
     }
 
-    fn exit(&mut self, counters: &Counters) {
-        let counters = serde_json::to_string(counters).unwrap_or_default();
-        tracing::info!(target: log_targets::TRANSPORT, counters, "shutdown complete, every accepted request answered or failed");
+    fn exit(&mut self, report: &ExitReport) {
+        let counters = serde_json::to_string(&report.counters).unwrap_or_default();
+        let open_frontends = report.open_frontends;
+        if open_frontends == 0 {
+            tracing::info!(target: log_targets::TRANSPORT, counters, "shutdown complete, every accepted request answered or failed");
+        } else {
+            tracing::error!(target: log_targets::TRANSPORT, counters, open_frontends, "shutdown deadline passed before the frontends have closed all connections");
+        }
         self.exited = true;
     }
 
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -11,6 +11,7 @@
 mod discovery_watch;
 mod driver;
 mod effects;
+mod frontend;
 mod leaf_connection;
 mod message_timeout;
 mod peers;
@@ -22,6 +23,7 @@
 pub use clock::Clock;
 pub use discovery_watch::watch_endpoints;
 pub use driver::serve;
+pub use frontend::{FrontendGuard, FrontendStarter};
 pub use pending_replies::{ClientReply, PendingReplies, Recorder};
 pub use query_client::QueryClient;
 pub use shared::MAX_QUEUED_UPDATES;
@@ -49,9 +51,6 @@
     Reload(Option<Addresses>),
 }
 
-/// Starts the frontend of another protocol; called once queries can be sent.
-pub type FrontendStarter = Box<dyn FnOnce(QueryClient)>;
-
 /// Optional components besides the frontend of the native protocol.
 #[derive(Default)]
 pub struct Integrations {
--- a/crates/mixer/src/transport/query_client.rs
+++ b/crates/mixer/src/transport/query_client.rs
@@ -6,7 +6,6 @@
 use crate::reducer::{ClientId, Input};
 use cottonhill_decisions::Nanos;
 use std::rc::Rc;
-use tokio::sync::mpsc::error::TrySendError;
 
 /// Sends queries to the reducer, each under a separate client id. May be used only by tasks of the mixer's `LocalSet`.
 #[derive(Clone)]
@@ -23,15 +22,9 @@
 impl Drop for Registration {
     fn drop(&mut self) {
         self.shared.unregister_client(self.client);
-        let inputs = self.shared.inputs.clone();
-        let closed = Input::ClientClosed {
+        self.shared.queue_input(Input::ClientClosed {
             client: self.client,
-        };
-        if let Err(TrySendError::Full(closed)) = inputs.try_send(closed) {
-            tokio::task::spawn_local(async move {
-                let _ = inputs.send(closed).await;
-            });
-        }
+        });
     }
 }
 
@@ -60,13 +53,17 @@
             shared: self.shared.clone(),
             client,
         };
-        self.shared.send_input(Input::ClientOpened { client }).await;
+        if !self.shared.send_input(Input::ClientOpened { client }).await {
+            return Reply::Failed;
+        }
         let input = Input::RequestReceived {
             client,
             received_at,
             request: Ok(ClientRequest::Query(query)),
         };
-        self.shared.send_input(input).await;
+        if !self.shared.send_input(input).await {
+            return Reply::Failed;
+        }
         loop {
             match commands.recv().await {
                 Some(ClientCommand::Reply { reply, .. }) => return *reply,
--- a/crates/mixer/src/transport/shared.rs
+++ b/crates/mixer/src/transport/shared.rs
@@ -71,6 +71,17 @@
         self.inputs.send(input).await.is_ok()
     }
 
+    /// Queues an input for the reducer without waiting: while the queue is full, a task does. Has to be called within
+    /// the mixer's `LocalSet`.
+    pub fn queue_input(&self, input: Input) {
+        if let Err(mpsc::error::TrySendError::Full(input)) = self.inputs.try_send(input) {
+            let inputs = self.inputs.clone();
+            tokio::task::spawn_local(async move {
+                let _ = inputs.send(input).await;
+            });
+        }
+    }
+
     /// Registers a client under a new id and returns the receiver of its commands.
     pub fn register_client(&self) -> (ClientId, mpsc::Receiver<ClientCommand>) {
         self.last_client.set(self.last_client.get() + 1);
--- a/crates/mixer/tests/graceful_shutdown.rs
+++ b/crates/mixer/tests/graceful_shutdown.rs
@@ -5,7 +5,7 @@
 
 use cottonhill_mixer::protocol::query_json::Reply;
 use cottonhill_mixer::reducer::Input;
-use harness::{deployments, Harness};
+use harness::{deployments, Harness, SETTINGS};
 
 /// How long after SIGTERM clients may still connect.
 const GRACE_MS: u64 = 700;
@@ -118,3 +118,60 @@
     harness.apply(Input::ShutdownRequested);
     assert!(!harness.is_ready());
 }
+
+/// Guards against an exit between two queries of one request of a frontend, as a multi-search sends them: the client
+/// got no answer.
+#[test]
+fn does_not_exit_while_a_frontend_has_an_unanswered_request() {
+    let mut harness = Harness::new(1);
+    harness.reducer.add_frontend();
+    let first = harness.send_frontend_query(1, &[1.0]);
+    harness.open_all_connections();
+    harness.apply(Input::ShutdownRequested);
+    harness.advance_ms(800);
+    harness.answer_all_parts();
+    harness.disconnect_client(first);
+    harness.advance_ms(1);
+    assert!(!harness.has_exited, "the next query of the request follows");
+    let second = harness.send_frontend_query(1, &[1.0]);
+    harness.serve_all();
+    assert!(harness.is_answered_completely(second));
+    harness.disconnect_client(second);
+    assert!(!harness.has_exited, "the response is not written yet");
+    harness.apply(Input::FrontendClosed);
+    assert!(harness.has_exited);
+}
+
+/// Guards against frontends without time to answer at the shutdown deadline, and against one that never does: the
+/// process exits before SIGKILL all the same.
+#[test]
+fn frontends_write_their_last_responses_after_the_shutdown_deadline() {
+    let sigkill_after_ms = MAX_COUNTED_DEADLINE_MS + GRACE_MS;
+    // Answers after the latency objective have a value here, so a query stays open until its deadline.
+    let settings_text =
+        SETTINGS.to_string() + "classes.0.late_value=0.9\nclasses.1.late_value=0.9\n";
+    for answers_in_time in [true, false] {
+        let mut harness = Harness::with_settings(&settings_text, 1);
+        harness.reducer.add_frontend();
+        let open = harness.send_frontend_query(1, &[1.0]);
+        harness.open_all_connections();
+        harness.apply(Input::ShutdownRequested);
+        harness.advance_ms(sigkill_after_ms - 101);
+        assert!(harness.replies[&open].is_empty());
+        harness.advance_ms(2);
+        assert_eq!(harness.last_reply(open), Some(&Reply::Failed));
+        // The next query of the same request.
+        let next = harness.send_frontend_query(1, &[1.0]);
+        assert!(
+            matches!(harness.last_reply(next), Some(Reply::Rejected { .. })),
+            "no time remains"
+        );
+        assert!(!harness.has_exited, "the responses are not written yet");
+        if answers_in_time {
+            harness.apply(Input::FrontendClosed);
+        } else {
+            harness.advance_ms(50);
+        }
+        assert!(harness.has_exited);
+    }
+}
--- a/crates/mixer/tests/harness/clients.rs
+++ b/crates/mixer/tests/harness/clients.rs
@@ -48,6 +48,12 @@
         client
     }
 
+    /// Sends a query from a frontend.
+    pub fn send_frontend_query(&mut self, class: u16, weights: &[f64]) -> ClientId {
+        self.frontend_clients.insert(self.last_client + 1);
+        self.send_query(class, weights)
+    }
+
     pub fn disconnect_client(&mut self, client: ClientId) {
         self.disconnected_clients.insert(client);
         self.apply(Input::ClientClosed { client });
--- a/crates/opensearch/src/front/connection.rs
+++ b/crates/opensearch/src/front/connection.rs
@@ -124,6 +124,10 @@
             () = listener_closed.as_mut(), if !is_draining => {
                 connection.as_mut().graceful_shutdown();
                 is_draining = true;
+                // The mixer exits only once this connection has ended.
+                if tracked.is_receiving() {
+                    return;
+                }
             }
         }
     }
--- a/crates/opensearch/src/front/connections.rs
+++ b/crates/opensearch/src/front/connections.rs
@@ -209,6 +209,13 @@
         }
     }
 
+    /// Whether the connection waits for the rest of a request, or for its first one.
+    pub fn is_receiving(&self, id: ConnectionId) -> bool {
+        self.connections
+            .get(&id)
+            .is_some_and(|connection| matches!(connection.activity, Activity::Receiving { .. }))
+    }
+
     /// Whether an admitted request is open on the connection, so that it may be closed only after the response.
     pub fn has_admitted_request(&self, id: ConnectionId) -> bool {
         self.connections
--- a/crates/opensearch/src/front/mod.rs
+++ b/crates/opensearch/src/front/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::index::FrontSettings;
 use crate::tls::Tls;
-use cottonhill_mixer::transport::QueryClient;
+use cottonhill_mixer::transport::{FrontendGuard, QueryClient};
 use listener::Listener;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -30,12 +30,14 @@
     last_request_number: Cell<u64>,
 }
 
-/// Serves on `listener` until the mixer stops. Has to be called within the mixer's `LocalSet`.
+/// Serves on `listener` until the mixer shuts down; `guard` keeps it from exiting before all requests are answered. Has
+/// to be called within the mixer's `LocalSet`.
 pub fn start(
     front: FrontSettings,
     tls: Option<Rc<Tls>>,
     listener: TcpListener,
     queries: QueryClient,
+    guard: FrontendGuard,
 ) {
     let context = Rc::new(Context {
         front,
@@ -43,5 +45,8 @@
         instance_id: format!("os{:016x}", rand::random::<u64>()),
         last_request_number: Cell::new(0),
     });
-    tokio::task::spawn_local(Listener::new(context, tls, listener).serve());
+    tokio::task::spawn_local(async move {
+        Listener::new(context, tls, listener).serve().await;
+        drop(guard);
+    });
 }
--- a/crates/opensearch/src/front/request.rs
+++ b/crates/opensearch/src/front/request.rs
@@ -49,7 +49,7 @@
 impl Drop for ResponseCheck {
     fn drop(&mut self) {
         if !self.responded {
-            tracing::info!(address = %self.address, "search request ended without a response");
+            tracing::debug!(address = %self.address, "search request ended without a response");
         }
     }
 }
--- a/crates/opensearch/src/front/tracked_connection.rs
+++ b/crates/opensearch/src/front/tracked_connection.rs
@@ -171,6 +171,11 @@
         .await;
     }
 
+    /// Whether the connection waits for the rest of a request, or for its first one.
+    pub(super) fn is_receiving(&self) -> bool {
+        self.connections.table.borrow().is_receiving(self.id)
+    }
+
     /// Whether an admitted request is open, so that the connection may be closed only after the response.
     pub(super) fn has_admitted_request(&self) -> bool {
         self.connections
--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -402,6 +402,17 @@
             .for_each(|slot| slot.server = None);
     }
 
+    /// Makes the leaf servers of these cells hang, in all zones.
+    pub fn hang_cells(&self, cells: &[usize]) {
+        let hanging = self
+            .leaf_slots
+            .iter()
+            .filter(|slot| cells.contains(&slot.cell));
+        hanging
+            .filter_map(|slot| slot.server.as_ref())
+            .for_each(LeafServer::hang);
+    }
+
     /// Marks the leaf servers of a zone as draining in discovery; they keep running. Returns their counters.
     pub fn drain_zone(&self, zone: usize) -> Vec<Arc<LeafStats>> {
         let zone_slots = self
--- a/crates/standins/src/leaf.rs
+++ b/crates/standins/src/leaf.rs
@@ -4,7 +4,7 @@
 use rand::{Rng, SeedableRng};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -25,6 +25,8 @@
     /// Parts refused because the server was at its concurrency limit.
     pub busy: AtomicU64,
     in_flight: AtomicUsize,
+    /// Whether the server hangs: it reads, and answers nothing.
+    hangs: AtomicBool,
 }
 
 /// A leaf server that runs until it is dropped. Its connections then break at once, as those of a killed process do.
@@ -41,6 +43,11 @@
 }
 
 impl LeafServer {
+    /// Makes the server hang from now on: it answers neither open nor further parts, nor any probe.
+    pub fn hang(&self) {
+        self.stats.hangs.store(true, Ordering::Relaxed);
+    }
+
     /// Serves on a free port. A part takes between 0.5 and 1.5 times `service_time`; parts beyond `concurrency` at
     /// once are refused as busy.
     ///
@@ -116,8 +123,12 @@
     let (mut read, mut write) = stream.into_split();
     let (answers, mut ready) = mpsc::channel::<Vec<u8>>(1024);
     let mut parts = JoinSet::new();
+    let writer_stats = stats.clone();
     parts.spawn(async move {
         while let Some(bytes) = ready.recv().await {
+            if writer_stats.hangs.load(Ordering::Relaxed) {
+                continue;
+            }
             if write.write_all(&bytes).await.is_err() {
                 return;
             }
--- /dev/null
+++ b/crates/standins/tests/search_front_shutdown.rs
@@ -0,0 +1,240 @@
+//! Shutdown of mixers with open requests of both frontends, with real processes: every request that was sent completely
+//! gets its final answer, and the process ends before it could be killed.
+
+mod search_client;
+
+use cottonhill_standins::client::{consecutive_parts, Attempt, AttemptOutcome, Connection, Query};
+use cottonhill_standins::cluster::{ClusterConfig, LocalCluster, CLASSES, SHARDS, TENANTS};
+use search_client::{exchange, multi_search_text, search_text, Outcome};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, Instant};
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+/// Searches of one multi-search, several times as many as run at the same time.
+const SEARCHES: usize = 24;
+/// SIGKILL follows SIGTERM after the longest client timeout and 0.7 s.
+const SIGKILL_AFTER: Duration = Duration::from_millis(1500 + 700);
+/// Cells that together hold all replicas of some shards.
+const HANGING_CELLS: [usize; 2] = [0, 1];
+const ALL_CELLS: [usize; 4] = [0, 1, 2, 3];
+/// By how much an answer may be late.
+const LATE_ANSWER: Duration = Duration::from_millis(500);
+
+/// A cluster whose leaf servers take `service_time` for each part.
+async fn start_cluster(directory: &tempfile::TempDir, service_time: Duration) -> LocalCluster {
+    let config = ClusterConfig {
+        seed: 45,
+        opensearch: true,
+        service_time,
+        leaf_concurrency: 4096,
+        ..ClusterConfig::default()
+    };
+    LocalCluster::start(directory.path(), config).await.unwrap()
+}
+
+/// Requests of clients, with their kinds and outcomes.
+struct Requests {
+    address: SocketAddr,
+    search_address: SocketAddr,
+    tasks: JoinSet<(String, Outcome)>,
+}
+
+impl Requests {
+    fn new(cluster: &LocalCluster) -> Requests {
+        Requests {
+            address: cluster.mixers[0].address,
+            search_address: cluster.mixers[0].search_address,
+            tasks: JoinSet::new(),
+        }
+    }
+
+    /// Sends one request to the search front on a new connection.
+    fn send_to_search_front(&mut self, kind: &str, class: usize, request: String) {
+        let (kind, address) = (
+            format!("{kind} of class {}", CLASSES[class].0),
+            self.search_address,
+        );
+        let limit = MS(CLASSES[class].2) + LATE_ANSWER;
+        self.tasks.spawn(async move {
+            let outcome = match TcpStream::connect(address).await {
+                Ok(mut stream) => exchange(&mut stream, &request, limit).await,
+                Err(_) => Outcome::Closed,
+            };
+            (kind, outcome)
+        });
+    }
+
+    /// Sends one query to the query front on a new connection.
+    fn send_to_query_front(&mut self, kind: &str, class: usize) {
+        let (name, _, timeout_ms, _) = CLASSES[class];
+        let kind = format!("{kind} of class {name}");
+        let query = Query {
+            class: name.into(),
+            tenant: TENANTS[0].into(),
+            parts: consecutive_parts(0, 4, SHARDS),
+            text: "q".into(),
+            key: None,
+        };
+        let (id, address) = (format!("{kind}-{}", self.tasks.len()), self.address);
+        self.tasks.spawn(async move {
+            let attempt = Attempt {
+                id: &id.replace(' ', "-"),
+                retry: false,
+                timeout: MS(timeout_ms),
+                extra_wait: LATE_ANSWER,
+            };
+            let outcome = match Connection::new(address).send_query(&query, &attempt).await {
+                AttemptOutcome::Answer(..) => Outcome::Answered(200, String::new()),
+                AttemptOutcome::Refused(_) => Outcome::Answered(503, String::new()),
+                AttemptOutcome::Failed(status) => Outcome::Answered(status, String::new()),
+                AttemptOutcome::ConnectionLost => Outcome::Closed,
+                AttemptOutcome::TimedOut => Outcome::TimedOut,
+            };
+            (kind, outcome)
+        });
+    }
+
+    /// Sends a request of each kind and class.
+    fn send_all_kinds(&mut self, when: &str) {
+        for (class, (name, ..)) in CLASSES.iter().enumerate() {
+            self.send_to_query_front(&format!("{when} query"), class);
+            self.send_to_search_front(&format!("{when} search"), class, search_text(name));
+            self.send_to_search_front(
+                &format!("{when} multi-search"),
+                class,
+                multi_search_text(name, SEARCHES, 10),
+            );
+        }
+    }
+
+    /// Waits for all requests and asserts that each got a final answer.
+    async fn check_all_answered(mut self) {
+        while let Some(done) = self.tasks.join_next().await {
+            let (kind, outcome) = done.unwrap();
+            let Outcome::Answered(status, body) = outcome else {
+                panic!("{kind}: {outcome:?}");
+            };
+            if status == 200 && kind.contains("multi-search") {
+                let body: serde_json::Value = serde_json::from_str(&body).unwrap();
+                assert_eq!(
+                    body["responses"].as_array().unwrap().len(),
+                    SEARCHES,
+                    "{kind}"
+                );
+            }
+        }
+    }
+}
+
+/// Stops the first mixer by SIGTERM and asserts that it ends in time. Returns how long that took.
+fn stop_in_time(cluster: &mut LocalCluster) -> Duration {
+    let started_at = Instant::now();
+    let stopped = tokio::task::block_in_place(|| cluster.stop_mixer(0, SIGKILL_AFTER));
+    let log = std::fs::read_to_string(&cluster.mixers[0].log).unwrap();
+    assert!(stopped, "not ended by itself before SIGKILL: {log}");
+    assert!(log.contains("shutdown complete"), "{log}");
+    started_at.elapsed()
+}
+
+/// Sends searches until the mixer has answered some of each class, so that it has latency estimates.
+async fn warm_up(cluster: &LocalCluster) {
+    for _ in 0..10 {
+        let mut requests = Requests::new(cluster);
+        requests.send_all_kinds("warm-up");
+        requests.check_all_answered().await;
+    }
+}
+
+/// Guards against an exit while a multi-search has answered some of its searches and not started the next: no shard of
+/// two cells is answered, so that the running searches end in one batch, and the client got no byte.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_multi_search_is_answered_although_its_mixer_shuts_down_while_leaf_servers_hang() {
+    let directory = tempfile::tempdir().unwrap();
+    let mut cluster = start_cluster(&directory, MS(5)).await;
+    warm_up(&cluster).await;
+    cluster.hang_cells(&HANGING_CELLS);
+    let mut requests = Requests::new(&cluster);
+    let class = CLASSES[0].0;
+    requests.send_to_search_front("multi-search", 0, multi_search_text(class, SEARCHES, 10));
+    sleep(MS(20)).await;
+    stop_in_time(&mut cluster);
+    requests.check_all_answered().await;
+}
+
+/// Guards against an exit at the shutdown deadline, at which all open queries fail, before a multi-search has its
+/// response: it was sent so late that its time ends after the deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_multi_search_is_answered_at_the_shutdown_deadline() {
+    let directory = tempfile::tempdir().unwrap();
+    let mut cluster = start_cluster(&directory, MS(5)).await;
+    warm_up(&cluster).await;
+    let process = cluster.mixers[0].process.as_ref().unwrap();
+    process.signal("-TERM").unwrap();
+    sleep(MS(680)).await;
+    cluster.hang_cells(&ALL_CELLS);
+    let mut requests = Requests::new(&cluster);
+    let (class, request) = (CLASSES.len() - 1, CLASSES[CLASSES.len() - 1].0);
+    requests.send_to_search_front(
+        "multi-search",
+        class,
+        multi_search_text(request, SEARCHES, 10),
+    );
+    sleep(MS(20)).await;
+    stop_in_time(&mut cluster);
+    requests.check_all_answered().await;
+}
+
+/// Guards against a shutdown that loses requests of any frontend, sent before SIGTERM, within the grace period or just
+/// before its end, while half of the leaf servers hang and while all are slow.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_of_all_frontends_are_answered_through_a_shutdown() {
+    for (service_time, hanging_cells) in [
+        (MS(5), &HANGING_CELLS[..]),
+        (MS(5), &ALL_CELLS[..]),
+        (MS(400), &[]),
+    ] {
+        let directory = tempfile::tempdir().unwrap();
+        let mut cluster = start_cluster(&directory, service_time).await;
+        warm_up(&cluster).await;
+        cluster.hang_cells(hanging_cells);
+        let mut requests = Requests::new(&cluster);
+        requests.send_all_kinds("early");
+        sleep(MS(200)).await;
+        let process = cluster.mixers[0].process.as_ref().unwrap();
+        process.signal("-TERM").unwrap();
+        for (when, delay) in [("first", 0), ("middle", 350), ("last", 330)] {
+            sleep(MS(delay)).await;
+            requests.send_all_kinds(when);
+        }
+        // The second SIGTERM changes nothing.
+        stop_in_time(&mut cluster);
+        requests.check_all_answered().await;
+    }
+}
+
+/// Guards against connections that delay the exit: silent ones, idle ones and one with an incomplete request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn connections_without_a_request_do_not_delay_the_exit() {
+    let directory = tempfile::tempdir().unwrap();
+    let mut cluster = start_cluster(&directory, MS(5)).await;
+    let address = cluster.mixers[0].search_address;
+    let search = search_text(CLASSES[0].0);
+    let mut silent = TcpStream::connect(address).await.unwrap();
+    let mut idle = TcpStream::connect(address).await.unwrap();
+    let outcome = exchange(&mut idle, &search, MS(1_400)).await;
+    assert_eq!(outcome.status(), Some(200));
+    let mut incomplete = TcpStream::connect(address).await.unwrap();
+    incomplete
+        .write_all(&search.as_bytes()[..30])
+        .await
+        .unwrap();
+    let elapsed = stop_in_time(&mut cluster);
+    assert!(elapsed < MS(1_500), "grace period and more: {elapsed:?}");
+    for stream in [&mut silent, &mut idle, &mut incomplete] {
+        let _ = stream.shutdown().await;
+    }
+}
