Count only sockets as connections of the query front, not the searches of a frontend

Callers saw: beside 30 clients that keep multi-searches open at the search front of a mixer with 128 descriptors, queries to the query front got no answer within their time and 0.5 s. Each search registers a client, up to eight for one multi-search, and the query front's listener waits while the registered clients, taken for descriptors, reach its limit; for the same reason they closed idle connections of the query front.

Now a frontend's client is an input of its own (FrontendClientOpened): it counts neither for the listener nor for the descriptor budget, is never selected for closing, and is not told to close when the mixer drains.

--- a/crates/mixer/src/reducer/client_requests.rs
+++ b/crates/mixer/src/reducer/client_requests.rs
@@ -19,18 +19,23 @@
 impl Reducer {
     pub(super) fn on_client_opened(&mut self, now: Nanos, client: ClientId) {
         self.counters.connections.clients += 1;
-        self.clients.insert(client, now);
+        self.clients.insert_connection(client, now);
         if self.lifecycle.is_draining() {
             // Accepted while the listener was being closed: a client without a request would delay the exit.
             self.effects.push(Effect::CloseClient {
                 client,
                 immediate: false,
             });
-        } else if self.clients.len() > self.descriptor_budget.max_clients() / 2 {
+        } else if self.clients.connection_count() > self.descriptor_budget.max_clients() / 2 {
             self.close_idle_clients(now, client);
         }
     }
 
+    pub(super) fn on_frontend_client_opened(&mut self, now: Nanos, client: ClientId) {
+        self.counters.connections.clients += 1;
+        self.clients.insert_frontend_client(client, now);
+    }
+
     fn close_idle_clients(&mut self, now: Nanos, newest: ClientId) {
         let limit = self.descriptor_budget.max_clients();
         for client in self.clients.select_for_closing(now, newest, limit) {
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -11,9 +11,11 @@
 /// decreases.
 const MAX_CLOSED_PER_CONNECT: usize = 2;
 
-/// A client's connection.
+/// A client's connection, or the client of a frontend's query.
 #[derive(Debug)]
 pub(super) struct Client {
+    /// Whether it is a connection, which holds a descriptor.
+    is_connection: bool,
     /// The query that has not been replied to.
     pub(super) open_query: Option<RequestId>,
     /// When the last reply was sent; before that, when the client connected.
@@ -26,43 +28,64 @@
 
 /// The connected clients by id.
 #[derive(Debug, Default)]
-pub(super) struct Clients(BTreeMap<ClientId, Client>);
+pub(super) struct Clients {
+    by_id: BTreeMap<ClientId, Client>,
+    connection_count: usize,
+}
 
 impl Clients {
+    /// Number of clients that are connections.
+    pub(super) fn connection_count(&self) -> usize {
+        self.connection_count
+    }
+
     /// Number of clients.
     pub(super) fn len(&self) -> usize {
-        self.0.len()
+        self.by_id.len()
     }
 
     /// Whether no client is connected.
     pub(super) fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.by_id.is_empty()
     }
 
     /// Whether the client is connected.
     pub(super) fn contains(&self, id: ClientId) -> bool {
-        self.0.contains_key(&id)
+        self.by_id.contains_key(&id)
     }
 
     /// Adds a client that has connected.
-    pub(super) fn insert(&mut self, id: ClientId, now: Nanos) {
+    pub(super) fn insert_connection(&mut self, id: ClientId, now: Nanos) {
+        self.insert(id, now, true);
+    }
+
+    /// Adds the client of a frontend's query. It is never closed, since it holds no descriptor.
+    pub(super) fn insert_frontend_client(&mut self, id: ClientId, now: Nanos) {
+        self.insert(id, now, false);
+    }
+
+    fn insert(&mut self, id: ClientId, now: Nanos, is_connection: bool) {
         let client = Client {
+            is_connection,
             open_query: None,
             last_active_at: now,
             sent_accepted_query: false,
             close_requested: false,
         };
-        self.0.insert(id, client);
+        self.by_id.insert(id, client);
+        self.connection_count += usize::from(is_connection);
     }
 
     /// Removes a client that has disconnected.
     pub(super) fn remove(&mut self, id: ClientId) -> Option<Client> {
-        self.0.remove(&id)
+        let client = self.by_id.remove(&id)?;
+        self.connection_count -= usize::from(client.is_connection);
+        Some(client)
     }
 
     /// Notes that a query of the client was accepted.
     pub(super) fn on_query_accepted(&mut self, id: ClientId, query: RequestId) {
-        if let Some(client) = self.0.get_mut(&id) {
+        if let Some(client) = self.by_id.get_mut(&id) {
             client.open_query = Some(query);
             client.sent_accepted_query = true;
         }
@@ -71,17 +94,17 @@
     /// Notes that the client is sent a reply. Returns whether to close its connection after the reply; `None` if it has
     /// disconnected.
     pub(super) fn on_reply(&mut self, id: ClientId, now: Nanos) -> Option<bool> {
-        let client = self.0.get_mut(&id)?;
+        let client = self.by_id.get_mut(&id)?;
         client.open_query = None;
         client.last_active_at = now;
         Some(client.close_requested)
     }
 
-    /// The clients without an open query, in ascending order of their ids.
+    /// The connections without an open query, in ascending order of their ids.
     pub(super) fn without_open_query(&self) -> impl Iterator<Item = ClientId> + '_ {
-        self.0
+        self.by_id
             .iter()
-            .filter(|(_, client)| client.open_query.is_none())
+            .filter(|(_, client)| client.is_connection && client.open_query.is_none())
             .map(|(id, _)| *id)
     }
 
@@ -98,15 +121,16 @@
         newest: ClientId,
         limit: usize,
     ) -> Vec<ClientId> {
-        let over_limit = self.0.len() > limit;
+        let over_limit = self.connection_count > limit;
         let may_close = |id: ClientId, client: &Client| {
-            client.open_query.is_none()
+            client.is_connection
+                && client.open_query.is_none()
                 && !client.close_requested
                 && id != newest
                 && (over_limit || client.is_long_idle(now))
         };
         let mut candidates: Vec<_> = self
-            .0
+            .by_id
             .iter()
             .filter(|(id, client)| may_close(**id, client))
             .map(|(id, client)| (client.sent_accepted_query, client.last_active_at, *id))
@@ -115,7 +139,7 @@
         candidates.truncate(MAX_CLOSED_PER_CONNECT);
         let chosen: Vec<ClientId> = candidates.into_iter().map(|(_, _, id)| id).collect();
         for id in &chosen {
-            if let Some(client) = self.0.get_mut(id) {
+            if let Some(client) = self.by_id.get_mut(id) {
                 client.close_requested = true;
             }
         }
--- a/crates/mixer/src/reducer/input.rs
+++ b/crates/mixer/src/reducer/input.rs
@@ -50,6 +50,11 @@
         /// The connection.
         client: ClientId,
     },
+    /// A frontend registered a client for one query. The client holds no connection of its own.
+    FrontendClientOpened {
+        /// The client.
+        client: ClientId,
+    },
     /// A request was received, valid or not.
     RequestReceived {
         /// The connection.
--- a/crates/mixer/src/reducer/mod.rs
+++ b/crates/mixer/src/reducer/mod.rs
@@ -181,6 +181,7 @@
     pub fn apply(&mut self, now: Nanos, input: Input) -> Vec<Effect> {
         match input {
             Input::ClientOpened { client } => self.on_client_opened(now, client),
+            Input::FrontendClientOpened { client } => self.on_frontend_client_opened(now, client),
             Input::RequestReceived {
                 client,
                 received_at,
--- a/crates/mixer/src/transport/client_listener.rs
+++ b/crates/mixer/src/transport/client_listener.rs
@@ -1,7 +1,7 @@
 //! The listener for clients of the native protocol.
 
 use super::client_connection::serve_client;
-use super::shared::Shared;
+use super::shared::{ClientKind, Shared};
 use crate::log_targets;
 use crate::reducer::Input;
 use std::io;
@@ -43,7 +43,7 @@
 }
 
 async fn accept_backlog(shared: &Shared, listener: &TcpListener, max_clients: usize) {
-    while shared.client_count() < max_clients {
+    while shared.connection_count() < max_clients {
         let Ok(Ok((stream, _))) = timeout(LAST_ACCEPT_TIMEOUT, listener.accept()).await else {
             return;
         };
@@ -63,7 +63,7 @@
 
 /// Registers a client and starts its task. The reducer is notified of the client before the task runs.
 async fn start_client(shared: &Shared, stream: TcpStream) {
-    let (client, commands) = shared.register_client();
+    let (client, commands) = shared.register_client(ClientKind::Connection);
     shared.send_input(Input::ClientOpened { client }).await;
     tokio::task::spawn_local(serve_client(shared.clone(), client, stream, commands));
 }
--- a/crates/mixer/src/transport/query_client.rs
+++ b/crates/mixer/src/transport/query_client.rs
@@ -1,7 +1,7 @@
 //! Queries from within the process: frontends of other protocols send them to the same reducer as native clients.
 
 use super::client_connection::ClientCommand;
-use super::shared::Shared;
+use super::shared::{ClientKind, Shared};
 use crate::protocol::query_json::{ClientRequest, QueryRequest, QuerySchema, Reply};
 use crate::reducer::{ClientId, Input};
 use cottonhill_decisions::Nanos;
@@ -47,13 +47,14 @@
     /// [`Reply::Failed`] if the mixer exits first. Dropping the future cancels the query, like the disconnect of a
     /// client.
     pub async fn send_query(&self, received_at: Nanos, query: QueryRequest) -> Reply {
-        let (client, mut commands) = self.shared.register_client();
+        let (client, mut commands) = self.shared.register_client(ClientKind::Frontend);
         // Dropped when the reply is returned or the future is dropped.
         let _registration = Registration {
             shared: self.shared.clone(),
             client,
         };
-        if !self.shared.send_input(Input::ClientOpened { client }).await {
+        let opened = Input::FrontendClientOpened { client };
+        if !self.shared.send_input(opened).await {
             return Reply::Failed;
         }
         let input = Input::RequestReceived {
--- a/crates/mixer/src/transport/shared.rs
+++ b/crates/mixer/src/transport/shared.rs
@@ -18,6 +18,21 @@
 /// Capacity of the command queue of one connection. The reducer issues one frame or reply at a time.
 pub(super) const MAX_QUEUED_COMMANDS: usize = 4;
 
+/// Whether a client holds a descriptor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ClientKind {
+    /// A connection of the native protocol.
+    Connection,
+    /// A query of a frontend.
+    Frontend,
+}
+
+/// A client that the reducer may send commands to.
+struct RegisteredClient {
+    kind: ClientKind,
+    commands: mpsc::Sender<ClientCommand>,
+}
+
 /// State that all tasks of the transport share. Clones refer to the same state.
 #[derive(Clone)]
 pub(super) struct Shared {
@@ -35,10 +50,12 @@
     pub query_schema: Rc<QuerySchema>,
     /// True once the mixer accepts no more connections.
     pub listener_closed: Rc<watch::Sender<bool>>,
-    /// Command queues of the registered clients.
-    clients: Rc<RefCell<HashMap<ClientId, mpsc::Sender<ClientCommand>>>>,
+    /// The registered clients.
+    clients: Rc<RefCell<HashMap<ClientId, RegisteredClient>>>,
+    /// Number of the registered clients that are connections.
+    connection_count: Rc<Cell<usize>>,
     /// Notified when a client's connection has ended, so that another one can be accepted.
-    client_ended: Rc<Notify>,
+    connection_ended: Rc<Notify>,
     /// The last assigned client id.
     last_client: Rc<Cell<ClientId>>,
 }
@@ -61,7 +78,8 @@
             query_schema: Rc::new(query_schema),
             listener_closed: Rc::new(watch::channel(false).0),
             clients: Rc::default(),
-            client_ended: Rc::default(),
+            connection_count: Rc::default(),
+            connection_ended: Rc::default(),
             last_client: Rc::default(),
         }
     }
@@ -83,18 +101,25 @@
     }
 
     /// Registers a client under a new id and returns the receiver of its commands.
-    pub fn register_client(&self) -> (ClientId, mpsc::Receiver<ClientCommand>) {
+    pub fn register_client(&self, kind: ClientKind) -> (ClientId, mpsc::Receiver<ClientCommand>) {
         self.last_client.set(self.last_client.get() + 1);
         let client = self.last_client.get();
         let (commands, receiver) = mpsc::channel(MAX_QUEUED_COMMANDS);
-        self.clients.borrow_mut().insert(client, commands);
+        let registered = RegisteredClient { kind, commands };
+        self.clients.borrow_mut().insert(client, registered);
+        if kind == ClientKind::Connection {
+            self.connection_count.set(self.connection_count.get() + 1);
+        }
         (client, receiver)
     }
 
-    /// Unregisters a client whose connection has ended.
+    /// Unregisters a client whose connection or query has ended.
     pub fn unregister_client(&self, client: ClientId) {
-        self.clients.borrow_mut().remove(&client);
-        self.client_ended.notify_one();
+        let removed = self.clients.borrow_mut().remove(&client);
+        if removed.is_some_and(|client| client.kind == ClientKind::Connection) {
+            self.connection_count.set(self.connection_count.get() - 1);
+            self.connection_ended.notify_one();
+        }
     }
 
     /// Passes a command to a client's task; does nothing if the client is not registered.
@@ -107,20 +132,20 @@
         command: ClientCommand,
     ) -> Result<(), mpsc::error::TrySendError<ClientCommand>> {
         match self.clients.borrow().get(&client) {
-            Some(commands) => commands.try_send(command),
+            Some(client) => client.commands.try_send(command),
             None => Ok(()),
         }
     }
 
-    /// Returns the number of registered clients.
-    pub fn client_count(&self) -> usize {
-        self.clients.borrow().len()
+    /// Returns the number of registered clients that are connections.
+    pub fn connection_count(&self) -> usize {
+        self.connection_count.get()
     }
 
-    /// Waits until fewer than `max_clients` clients are registered.
+    /// Waits until fewer than `max_clients` connections are registered.
     pub async fn wait_for_client_capacity(&self, max_clients: usize) {
-        while self.client_count() >= max_clients {
-            self.client_ended.notified().await;
+        while self.connection_count() >= max_clients {
+            self.connection_ended.notified().await;
         }
     }
 }
--- a/crates/mixer/tests/descriptor_budget.rs
+++ b/crates/mixer/tests/descriptor_budget.rs
@@ -81,3 +81,24 @@
     );
     assert!(!newer.iter().any(is_closed));
 }
+
+/// Guards against queries of a frontend that count as connections: they took the place of connections, and closed idle
+/// ones.
+#[test]
+fn queries_of_a_frontend_hold_no_descriptor() {
+    let mut harness = Harness::new(1);
+    for _ in 0..470 {
+        harness.send_frontend_query(1, &[1.0]);
+    }
+    let effects = harness
+        .reducer
+        .apply(START, Input::ClientOpened { client: 1_000 });
+    assert_eq!(effects, []);
+    for client in 1_001..1_300 {
+        harness.apply(Input::ClientOpened { client });
+    }
+    harness.apply(Input::ShutdownRequested);
+    harness.advance_ms(800);
+    let closed = &harness.closed_clients;
+    assert!(closed.iter().all(|client| *client >= 1_000), "{closed:?}");
+}
--- a/crates/mixer/tests/harness/clients.rs
+++ b/crates/mixer/tests/harness/clients.rs
@@ -50,8 +50,11 @@
 
     /// Sends a query from a frontend.
     pub fn send_frontend_query(&mut self, class: u16, weights: &[f64]) -> ClientId {
-        self.frontend_clients.insert(self.last_client + 1);
-        self.send_query(class, weights)
+        self.last_client += 1;
+        let client = self.last_client;
+        self.apply(Input::FrontendClientOpened { client });
+        self.send_query_from(client, class, weights, DEFAULT_TIMEOUT_MS);
+        client
     }
 
     pub fn disconnect_client(&mut self, client: ClientId) {
--- a/crates/mixer/tests/harness/mod.rs
+++ b/crates/mixer/tests/harness/mod.rs
@@ -65,8 +65,6 @@
     /// The replies to each client, in the order in which they were sent.
     pub replies: BTreeMap<ClientId, Vec<SentReply>>,
     pub disconnected_clients: BTreeSet<ClientId>,
-    /// The clients that a frontend registers for its queries.
-    frontend_clients: BTreeSet<ClientId>,
     pub connections: BTreeMap<ConnectionId, LeafSocket>,
     /// All frames that were passed to sockets, in order.
     pub frames: Vec<SentFrame>,
@@ -123,7 +121,6 @@
             now: START,
             replies: BTreeMap::new(),
             disconnected_clients: BTreeSet::new(),
-            frontend_clients: BTreeSet::new(),
             connections: BTreeMap::new(),
             frames: Vec::new(),
             in_flight: BTreeMap::new(),
@@ -207,8 +204,6 @@
                 reply,
                 close,
             } => self.send_reply(client, reply, close),
-            // A frontend does not withdraw its query, which the reducer is about to receive.
-            Effect::CloseClient { client, .. } if self.frontend_clients.contains(&client) => {}
             Effect::CloseClient { client, .. } => {
                 self.closed_clients.push(client);
                 self.apply(Input::ClientClosed { client });
