Let only collectors that follow the usage log keep a connection to its listener

Callers saw: beside 256 connections to the usage log's listener of a mixer with 128 descriptors that said nothing, queries got no answer.

Now at most 16 connections are open; a connection has 2 s to follow the log, and only while it does it keeps its place: at the limit the oldest of the others is closed for a new one. A collector that no longer answers HTTP/2 pings for 10 s is closed, so that a settlement whose host has vanished frees its place.

--- a/crates/ledger/src/collect.rs
+++ b/crates/ledger/src/collect.rs
@@ -1,5 +1,6 @@
 //! Collection over gRPC: each mixer serves its usage log, and the settlement follows it.
 
+use crate::collection_listener::{self, FollowState};
 use crate::log::{Follower, Position};
 use crate::wire::usage_log_server::{UsageLog, UsageLogServer};
 use crate::wire::{AcknowledgeReply, AcknowledgeRequest, Batch, FollowRequest};
@@ -11,7 +12,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status};
 
 /// Entries of one message.
@@ -23,6 +24,9 @@
 /// An empty message is sent after this number of polls without new entries, so that the collector sees that the mixer
 /// is alive.
 const KEEPALIVE_POLLS: u32 = 50;
+/// Interval of HTTP/2 pings, and the time within which each has to be answered, or the connection is closed.
+const PING_INTERVAL: Duration = Duration::from_secs(10);
+const PING_TIMEOUT: Duration = Duration::from_secs(10);
 
 struct UsageLogService {
     directory: PathBuf,
@@ -36,6 +40,8 @@
         &self,
         request: Request<FollowRequest>,
     ) -> Result<Response<Self::FollowStream>, Status> {
+        let follow_state = request.extensions().get::<FollowState>();
+        let follow_guard = follow_state.map(FollowState::follow);
         let FollowRequest {
             incarnation,
             sequence,
@@ -49,6 +55,7 @@
         );
         let (send, receive) = mpsc::channel(MAX_QUEUED_MESSAGES);
         tokio::spawn(async move {
+            let _follow_guard = follow_guard;
             let mut idle = 0;
             loop {
                 let read = tokio::task::spawn_blocking(move || {
@@ -136,9 +143,12 @@
             let result: Result<(), String> = runtime.block_on(async move {
                 let listener = TcpListener::from_std(listener).map_err(|e| e.to_string())?;
                 let service = UsageLogServer::new(UsageLogService { directory });
-                let server = tonic::transport::Server::builder().add_service(service);
+                let server = tonic::transport::Server::builder()
+                    .http2_keepalive_interval(Some(PING_INTERVAL))
+                    .http2_keepalive_timeout(Some(PING_TIMEOUT))
+                    .add_service(service);
                 server
-                    .serve_with_incoming(TcpListenerStream::new(listener))
+                    .serve_with_incoming(collection_listener::accept(listener))
                     .await
                     .map_err(|e| e.to_string())
             });
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -9,6 +9,7 @@
 //! in the mixer; [`store`], [`settlement`] and [`export`] run in the settlement.
 
 pub mod collect;
+mod collection_listener;
 pub mod export;
 pub mod join;
 pub mod log;
--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -92,6 +92,8 @@
     pub address: SocketAddr,
     /// Address of the OpenSearch-style frontend, if it is enabled.
     pub search_address: SocketAddr,
+    /// Address at which the usage log is collected, if it is enabled.
+    pub usage_address: SocketAddr,
     pub usage_directory: PathBuf,
     config_file: PathBuf,
     settings_file: PathBuf,
@@ -275,6 +277,7 @@
                 name,
                 address,
                 search_address,
+                usage_address,
                 usage_directory,
                 config_file,
                 settings_file,
