Send the last replies before closing the usage log, whose close may block for 2 s

Callers would see no answer: with the usage log's disk blocked, a query whose time ended with the shutdown deadline was answered 3.23 s after SIGTERM, in place of 1.3 s at the latest, when SIGKILL comes. Cause: at the exit the mixer first closed the log, which blocks its only thread for up to 2 s, and sent the replies that wait for their usage records only then.

Now these replies are sent first, each at the latest after the time that it may wait for its record (5 ms by default), then the sockets get their 50 ms, and the log is closed last. The writer has its thread and writes meanwhile.

--- a/crates/mixer/src/transport/driver.rs
+++ b/crates/mixer/src/transport/driver.rs
@@ -123,8 +123,22 @@
                 Wakeup::TimerDue => self.process_batch(),
             }
         }
-        self.effects.close_recorder();
+        self.send_pending_replies().await;
         sleep(FINAL_FLUSH_DELAY).await;
+        // Last, since it blocks the thread while the log is slow.
+        self.effects.close_recorder();
+    }
+
+    /// Sends the pending replies, each at the latest at its deadline.
+    async fn send_pending_replies(&mut self) {
+        while let Some(deadline) = self.effects.next_reply_deadline() {
+            tokio::select! {
+                biased;
+                () = self.effects.records_written() => {}
+                () = sleep_until(deadline) => {}
+            }
+            self.effects.send_ready_replies();
+        }
     }
 
     async fn next_wakeup(&mut self, queues: &mut EventQueues) -> Wakeup {
--- a/crates/mixer/src/transport/effects.rs
+++ b/crates/mixer/src/transport/effects.rs
@@ -200,11 +200,10 @@
         self.exited = true;
     }
 
-    /// Writes the queued usage records, then sends all pending replies.
+    /// Writes the queued usage records, which may block for a limited time.
     pub(super) fn close_recorder(&mut self) {
-        let pending = self.pending_replies.as_mut().map(PendingReplies::close);
-        for reply in pending.unwrap_or_default() {
-            self.send_reply(reply);
+        if let Some(pending_replies) = &mut self.pending_replies {
+            pending_replies.close_recorder();
         }
     }
 }
--- a/crates/mixer/src/transport/pending_replies.rs
+++ b/crates/mixer/src/transport/pending_replies.rs
@@ -144,9 +144,8 @@
         self.queue.pop_front().map(|pending| pending.reply)
     }
 
-    /// Closes the recorder and returns all pending replies.
-    pub fn close(&mut self) -> Vec<ClientReply> {
+    /// Closes the recorder. No reply should be pending any more.
+    pub fn close_recorder(&mut self) {
         self.recorder.close();
-        self.queue.drain(..).map(|pending| pending.reply).collect()
     }
 }
--- a/crates/mixer/tests/loopback/mod.rs
+++ b/crates/mixer/tests/loopback/mod.rs
@@ -6,7 +6,7 @@
 use cottonhill_mixer::protocol::query_json::QuerySchema;
 use cottonhill_mixer::reducer::Reducer;
 use cottonhill_mixer::settings;
-use cottonhill_mixer::transport::{self, Addresses, Clock, Control};
+use cottonhill_mixer::transport::{self, Addresses, Clock, Control, Integrations, Recorder};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -19,6 +19,7 @@
 const SEND_BUFFER_BYTES: u32 = 4096;
 const LISTEN_BACKLOG: u32 = 1024;
 const SEED: u64 = 7;
+const WATERMARK_INTERVAL_NS: u64 = 1_000_000_000;
 
 /// The clock of the test's runtime.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -36,6 +37,8 @@
     pub clock: TestClock,
     /// The memory limit of the process in bytes, if it has one.
     pub memory_limit: Option<usize>,
+    /// Creates the writer of usage records; usage is not recorded if unset.
+    pub recorder: Option<fn() -> Box<dyn Recorder>>,
 }
 
 impl MixerOptions<'_> {
@@ -45,6 +48,7 @@
             descriptors,
             clock,
             memory_limit: None,
+            recorder: None,
         }
     }
 }
@@ -95,6 +99,13 @@
     if let Some(memory_limit) = options.memory_limit {
         reducer.limit_memory(memory_limit);
     }
+    if options.recorder.is_some() {
+        reducer.enable_usage_recording(WATERMARK_INTERVAL_NS);
+    }
+    let integrations = Integrations {
+        recorder: options.recorder.map(|create| create()),
+        ..Integrations::default()
+    };
     let addresses = Addresses {
         discovery: discovery.local_addr().unwrap(),
         peer_listen: None,
@@ -110,7 +121,7 @@
         listener,
         addresses,
         controls,
-        Default::default(),
+        integrations,
     ));
     RunningMixer {
         address,
