Give clients of a full query front 0.25 s to read their responses, in place of 5 s

Callers saw: beside 80 clients that send requests and read no response, at a mixer with 40 descriptors, a query on a new connection was answered after 28 s; its class allows 6 s.

Now a response has to be written within 0.25 s while the listener can accept no further connection; else within 5 s as before. The rule covers all blocked connections at once, so that the wait does not grow with what each of them costs.

--- a/crates/mixer/src/transport/client_connection.rs
+++ b/crates/mixer/src/transport/client_connection.rs
@@ -13,7 +13,7 @@
 use tokio::io::{copy, sink, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{timeout, Duration, Instant};
+use tokio::time::{sleep, timeout, Duration, Instant};
 
 /// A request must be complete within this duration after its first byte, or it is answered with 408. For the first
 /// request of a connection the duration starts when the connection is opened, so that the connection of a client that
@@ -21,6 +21,8 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 /// A response must be written within this duration, or the connection is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// While no further connection can be accepted, a response must be written within this duration.
+const WRITE_TIMEOUT_AT_CAPACITY: Duration = Duration::from_millis(250);
 /// Maximum duration for which a lingering close reads and discards input.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -220,11 +222,13 @@
     /// Writes a response.
     ///
     /// # Errors
-    /// `TimedOut` if the client does not read the response within [`WRITE_TIMEOUT`], and the errors of the socket.
+    /// `TimedOut` if the client does not read the response within [`WRITE_TIMEOUT`], or within
+    /// [`WRITE_TIMEOUT_AT_CAPACITY`] if no further connection can be accepted, and the errors of the socket.
     async fn send_response(&mut self, response: Response) -> io::Result<()> {
-        match timeout(WRITE_TIMEOUT, self.http.send(response)).await {
-            Ok(sent) => sent,
-            Err(_) => Err(io::ErrorKind::TimedOut.into()),
+        tokio::select! {
+            biased;
+            sent = self.http.send(response) => sent,
+            () = write_overdue(self.shared) => Err(io::ErrorKind::TimedOut.into()),
         }
     }
 
@@ -252,6 +256,13 @@
     http.codec().has_partial_request() || !http.read_buffer().is_empty()
 }
 
+/// Waits until a response that is being written from now on is overdue.
+async fn write_overdue(shared: &Shared) {
+    sleep(WRITE_TIMEOUT_AT_CAPACITY).await;
+    let remaining = WRITE_TIMEOUT.saturating_sub(WRITE_TIMEOUT_AT_CAPACITY);
+    let _ = timeout(remaining, shared.capacity_reached()).await;
+}
+
 /// Converts the result of a read to a request, or to the end of the connection by the client.
 fn request_or_end(
     received: Option<io::Result<IncomingRequest>>,
--- a/crates/mixer/src/transport/shared.rs
+++ b/crates/mixer/src/transport/shared.rs
@@ -54,6 +54,8 @@
     clients: Rc<RefCell<HashMap<ClientId, RegisteredClient>>>,
     /// Number of the registered clients that are connections.
     connection_count: Rc<Cell<usize>>,
+    /// True while no further connection can be accepted, since too many are registered.
+    at_capacity: Rc<watch::Sender<bool>>,
     /// Notified when a client's connection has ended, so that another one can be accepted.
     connection_ended: Rc<Notify>,
     /// The last assigned client id.
@@ -79,6 +81,7 @@
             listener_closed: Rc::new(watch::channel(false).0),
             clients: Rc::default(),
             connection_count: Rc::default(),
+            at_capacity: Rc::new(watch::channel(false).0),
             connection_ended: Rc::default(),
             last_client: Rc::default(),
         }
@@ -145,7 +148,15 @@
     /// Waits until fewer than `max_clients` connections are registered.
     pub async fn wait_for_client_capacity(&self, max_clients: usize) {
         while self.connection_count() >= max_clients {
+            self.at_capacity.send_replace(true);
             self.connection_ended.notified().await;
         }
+        self.at_capacity.send_replace(false);
+    }
+
+    /// Waits until no further connection can be accepted, since too many are registered.
+    pub async fn capacity_reached(&self) {
+        let mut at_capacity = self.at_capacity.subscribe();
+        let _ = at_capacity.wait_for(|reached| *reached).await;
     }
 }
--- a/crates/mixer/tests/client_connections.rs
+++ b/crates/mixer/tests/client_connections.rs
@@ -11,12 +11,14 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::ops::Range;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{sleep, Duration, Instant};
 
 /// Few enough that a test can exhaust those for clients.
 const DESCRIPTORS: usize = 40;
+/// The client timeout of the class `lookup` in the settings.
+const LOOKUP_TIMEOUT_MS: u128 = 6_000;
 /// The size of the length before a frame, in bytes.
 const FRAME_HEADER_BYTES: usize = 4;
 
@@ -212,6 +214,37 @@
     });
 }
 
+/// Sends as many requests as the mixer reads ahead, and reads no response. Connects again when the mixer closes the connection.
+async fn flood_without_reading(mixer: SocketAddr) {
+    loop {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(1).unwrap();
+        let mut stream = socket.connect(mixer).await.unwrap();
+        let requests = "GET /-/stats HTTP/1.1\r\n\r\n".repeat(600);
+        let _ = stream.write_all(requests.as_bytes()).await;
+        let _ = stream.ready(Interest::ERROR).await;
+    }
+}
+
+/// Guards against clients that keep their places by not reading responses: they kept the mixer from accepting others.
+#[test]
+fn clients_that_do_not_read_do_not_block_other_clients() {
+    run_against_mixer(TestClock::Real, SETTINGS, |mixer| async move {
+        wait_until_ready(mixer, Duration::ZERO).await;
+        for _ in 0..2 * DESCRIPTORS {
+            tokio::task::spawn_local(flood_without_reading(mixer));
+        }
+        sleep(Duration::from_millis(1_000)).await;
+        for number in 0..5 {
+            let started = Instant::now();
+            let mut stream = connect(mixer).await;
+            send_text(&mut stream, &query_text(&format!("good{number}"), "")).await;
+            assert!(read_response(&mut stream).await.has_status(200));
+            assert_elapsed_ms(started, 0..LOOKUP_TIMEOUT_MS);
+        }
+    });
+}
+
 #[test]
 fn does_not_wait_for_truncated_answer() {
     run_against_mixer(TestClock::Paused, SETTINGS, |mixer| async move {
