Close connections with unread responses once the search front refuses requests

Clients that read no response and connect again when closed held all places of the search front for up to 5 s at a time, during which all others were refused (429). Now, when a request is refused, connections whose response has waited for its client for 0.25 s are closed, as in the query front.

--- a/crates/opensearch/src/front/connections.rs
+++ b/crates/opensearch/src/front/connections.rs
@@ -10,6 +10,8 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 /// A response must be written within this time, or its connection is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// While requests are refused, a response must be written within this time.
+const WRITE_TIMEOUT_AT_LIMIT: Duration = Duration::from_millis(250);
 /// How long a new connection may take to send its first request before it is closed in preference to others.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
 /// Connections beyond the connection limit. Admitted requests never hold them, so that while all others are in use a new
@@ -66,6 +68,14 @@
 }
 
 impl Connection {
+    /// Whether a response has been waiting for its client for [`WRITE_TIMEOUT_AT_LIMIT`].
+    fn is_unread(&self, now: Instant) -> bool {
+        match self.activity {
+            Activity::Responding { since } => now.duration_since(since) >= WRITE_TIMEOUT_AT_LIMIT,
+            Activity::Idle { .. } | Activity::Receiving { .. } | Activity::Serving => false,
+        }
+    }
+
     /// The priority for closing and the time of its last activity; `None` while its admitted request is open.
     fn close_priority(&self, now: Instant) -> Option<(ClosePriority, Instant)> {
         match self.activity {
@@ -216,11 +226,25 @@
             .is_some_and(|connection| matches!(connection.activity, Activity::Receiving { .. }))
     }
 
-    /// Whether an admitted request is open on the connection, so that it may be closed only after the response.
-    pub fn has_admitted_request(&self, id: ConnectionId) -> bool {
+    /// Whether an admitted request is open on the connection, so that it may be closed for another one only after the
+    /// response. False if the client has not read the response in time.
+    pub fn has_admitted_request(&self, id: ConnectionId, now: Instant) -> bool {
         self.connections
             .get(&id)
-            .is_some_and(|connection| connection.is_admitted)
+            .is_some_and(|connection| connection.is_admitted && !connection.is_unread(now))
+    }
+
+    /// Selects the connections to close after a request was refused: those whose clients do not read the responses to
+    /// admitted requests. Each is selected once.
+    pub fn select_unread(&mut self, now: Instant) -> Vec<ConnectionId> {
+        let mut selected = Vec::new();
+        for (id, connection) in &mut self.connections {
+            if connection.is_unread(now) && !connection.is_closing {
+                connection.is_closing = true;
+                selected.push(*id);
+            }
+        }
+        selected
     }
 
     /// Selects the connections to close: as many as exceed the connection limit, of those without an admitted request
--- a/crates/opensearch/src/front/tracked_connection.rs
+++ b/crates/opensearch/src/front/tracked_connection.rs
@@ -69,6 +69,18 @@
         }
     }
 
+    /// Logs a refused request, and requests the closing of connections whose clients do not read their responses.
+    fn on_refused(&self) {
+        if count_for_log(&self.refused) {
+            tracing::info!(
+                refused = self.refused.get(),
+                "connection limit exceeded: request refused"
+            );
+        }
+        let unread = self.table.borrow_mut().select_unread(Instant::now());
+        self.request_closing(&unread);
+    }
+
     /// Waits until another connection may be accepted, and requests the closing of others until then.
     pub(super) async fn wait_for_capacity(&self) {
         while self.table.borrow().is_full() {
@@ -129,11 +141,8 @@
             .table
             .borrow_mut()
             .on_request_received(self.id);
-        if admission == Admission::Refused && count_for_log(&self.connections.refused) {
-            tracing::info!(
-                refused = self.connections.refused.get(),
-                "connection limit exceeded: request refused"
-            );
+        if admission == Admission::Refused {
+            self.connections.on_refused();
         }
         admission
     }
@@ -181,7 +190,7 @@
         self.connections
             .table
             .borrow()
-            .has_admitted_request(self.id)
+            .has_admitted_request(self.id, Instant::now())
     }
 
     /// Waits until the connection is to be closed for another one. Completes once.
