Limit how long collection waits for a mixer's answer to follow and acknowledge

Shown now with a listener that accepts and says nothing: the settlement's first connection stayed and no second one came in 10 s, with a silence timeout of 300 ms. So a mixer that is held up, or whose host vanished at that moment, was not collected again until the settlement restarted.

Both calls now have the silence timeout, after which collection starts again from the stored position.

--- a/crates/ledger/src/settlement.rs
+++ b/crates/ledger/src/settlement.rs
@@ -233,9 +233,9 @@
         incarnation: after.incarnation,
         sequence: after.sequence,
     };
-    let mut batches = client
-        .follow(request)
+    let mut batches = timeout(silence_timeout, client.follow(request))
         .await
+        .map_err(|_| "no answer within the silence timeout".to_string())?
         .map_err(|e| e.to_string())?
         .into_inner();
     let mut acknowledged = Instant::now();
@@ -276,13 +276,14 @@
                 incarnation,
                 sequence,
             } = position;
-            let acknowledgement = client
-                .acknowledge(AcknowledgeRequest {
-                    incarnation,
-                    sequence,
-                })
-                .await;
-            acknowledgement.map_err(|e| e.to_string())?;
+            let acknowledgement = client.acknowledge(AcknowledgeRequest {
+                incarnation,
+                sequence,
+            });
+            timeout(silence_timeout, acknowledgement)
+                .await
+                .map_err(|_| "no acknowledgement within the silence timeout".to_string())?
+                .map_err(|e| e.to_string())?;
             acknowledged = Instant::now();
         }
     }
