Search front: one place for a client that sends requests ahead; shorter functions

A client whose first response was not written completely counted against itself at the connection limit: its next request was refused although it held a place. Found by reading the change again; the new test of the table failed before. The handling of one request is now three functions, and the connection's handle has one accessor for the table. An incomplete body still gets 408, which the test with real processes now checks.

--- a/crates/opensearch/src/front/connections.rs
+++ b/crates/opensearch/src/front/connections.rs
@@ -163,15 +163,16 @@
     }
 
     /// Notes that a request is complete, and decides whether it is served. Its connection stays open until the response
-    /// is written.
+    /// is written. A connection holds one place, also if its client sends requests ahead.
     pub fn on_request_received(&mut self, id: ConnectionId) -> Admission {
-        let is_admitted = self.open_requests() < self.max_connections;
-        if let Some(connection) = self.connections.get_mut(&id) {
-            connection.activity = Activity::Serving;
-            connection.has_sent_request = true;
-            connection.is_admitted = is_admitted;
-        }
-        if is_admitted {
+        let has_free_place = self.open_requests() < self.max_connections;
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return Admission::Refused;
+        };
+        connection.activity = Activity::Serving;
+        connection.has_sent_request = true;
+        connection.is_admitted |= has_free_place;
+        if connection.is_admitted {
             Admission::Admitted
         } else {
             Admission::Refused
--- a/crates/opensearch/src/front/request.rs
+++ b/crates/opensearch/src/front/request.rs
@@ -68,45 +68,11 @@
     let received_at = context.queries.now();
     let head = request.method() == Method::HEAD;
     let (parts, body) = request.into_parts();
-    let accepts_gzip = header_text(&parts.headers, ACCEPT_ENCODING.as_str())
-        .is_some_and(|encodings| encodings.contains("gzip"));
     let opaque_id = parts.headers.get("x-opaque-id").cloned();
-    let body = read_body(context, &parts, body, connection.deadline()).await;
-    let mut response = match body {
+    let mut response = match read_body(context, &parts, body, connection.deadline()).await {
         Err(error) => write_response(error, head),
         Ok(_) if connection.on_request_received() == Admission::Refused => refuse(head),
-        Ok(body) => {
-            let forwarded: Vec<&str> = parts
-                .headers
-                .get_all("x-forwarded-for")
-                .iter()
-                .filter_map(|line| line.to_str().ok())
-                .collect();
-            let address =
-                tenant::client_address(peer.address, &forwarded, &context.front.trusted_proxies);
-            let client = Client {
-                headers: parts.headers.clone(),
-                address,
-                certificate_name: peer.certificate_name,
-            };
-            match route(context, received_at, &parts, &client, &body).await {
-                Ok(_) if head => json_response(200, Vec::new()),
-                Ok(bytes) if accepts_gzip && bytes.len() >= MIN_COMPRESSED_BYTES => {
-                    match gzip::compress(&bytes) {
-                        Some(compressed) => {
-                            let mut response = json_response(200, compressed);
-                            response
-                                .headers_mut()
-                                .insert(CONTENT_ENCODING, HeaderValue::from_static("gzip"));
-                            response
-                        }
-                        None => json_response(200, bytes),
-                    }
-                }
-                Ok(bytes) => json_response(200, bytes),
-                Err(error) => write_response(error, head),
-            }
-        }
+        Ok(body) => serve(context, received_at, peer, &parts, &body).await,
     };
     if let Some(opaque_id) = opaque_id {
         response.headers_mut().insert("x-opaque-id", opaque_id);
@@ -115,6 +81,55 @@
     response
 }
 
+/// Serves a complete request.
+async fn serve(
+    context: &Rc<Context>,
+    received_at: u64,
+    peer: Peer,
+    parts: &Parts,
+    body: &Bytes,
+) -> Response<Full<Bytes>> {
+    let head = parts.method == Method::HEAD;
+    let forwarded: Vec<&str> = parts
+        .headers
+        .get_all("x-forwarded-for")
+        .iter()
+        .filter_map(|line| line.to_str().ok())
+        .collect();
+    let address = tenant::client_address(peer.address, &forwarded, &context.front.trusted_proxies);
+    let client = Client {
+        headers: parts.headers.clone(),
+        address,
+        certificate_name: peer.certificate_name,
+    };
+    match route(context, received_at, parts, &client, body).await {
+        Ok(_) if head => json_response(200, Vec::new()),
+        Ok(bytes) if accepts_gzip(&parts.headers) => compressed_response(bytes),
+        Ok(bytes) => json_response(200, bytes),
+        Err(error) => write_response(error, head),
+    }
+}
+
+fn accepts_gzip(headers: &HeaderMap) -> bool {
+    header_text(headers, ACCEPT_ENCODING.as_str())
+        .is_some_and(|encodings| encodings.contains("gzip"))
+}
+
+/// The response with this body, compressed unless the body is short.
+fn compressed_response(bytes: Vec<u8>) -> Response<Full<Bytes>> {
+    let compressed = (bytes.len() >= MIN_COMPRESSED_BYTES)
+        .then(|| gzip::compress(&bytes))
+        .flatten();
+    let Some(compressed) = compressed else {
+        return json_response(200, bytes);
+    };
+    let mut response = json_response(200, compressed);
+    response
+        .headers_mut()
+        .insert(CONTENT_ENCODING, HeaderValue::from_static("gzip"));
+    response
+}
+
 fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
--- a/crates/opensearch/src/front/tracked_connection.rs
+++ b/crates/opensearch/src/front/tracked_connection.rs
@@ -1,7 +1,7 @@
 //! The handle of one open connection, through which its tasks report its activity to the [`ConnectionTable`].
 
 use super::connections::{Admission, ConnectionId, ConnectionTable};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, RefCell, RefMut};
 use std::collections::HashMap;
 use std::future::{poll_fn, Future};
 use std::rc::Rc;
@@ -127,42 +127,47 @@
 }
 
 impl TrackedConnection {
+    fn table(&self) -> RefMut<'_, ConnectionTable> {
+        self.connections.table.borrow_mut()
+    }
+
+    /// Notes that bytes have arrived.
     pub(super) fn on_bytes_received(&self) {
-        let now = Instant::now();
-        self.connections
-            .table
-            .borrow_mut()
-            .on_bytes_received(self.id, now);
+        self.table().on_bytes_received(self.id, Instant::now());
     }
 
+    /// Notes that a request is complete, and decides whether it is served.
     pub(super) fn on_request_received(&self) -> Admission {
-        let admission = self
-            .connections
-            .table
-            .borrow_mut()
-            .on_request_received(self.id);
+        let admission = self.table().on_request_received(self.id);
         if admission == Admission::Refused {
             self.connections.on_refused();
         }
         admission
     }
 
+    /// Notes that a response is about to be written.
     pub(super) fn on_response_ready(&self) {
-        let now = Instant::now();
-        self.connections
-            .table
-            .borrow_mut()
-            .on_response_ready(self.id, now);
+        self.table().on_response_ready(self.id, Instant::now());
     }
 
+    /// Notes that everything to be written has been passed to the socket.
     pub(super) fn on_flushed(&self) {
-        let now = Instant::now();
-        self.connections.table.borrow_mut().on_flushed(self.id, now);
+        self.table().on_flushed(self.id, Instant::now());
     }
 
     /// When the connection has to be closed unless its activity changes.
     pub(super) fn deadline(&self) -> Option<Instant> {
-        self.connections.table.borrow().deadline(self.id)
+        self.table().deadline(self.id)
+    }
+
+    /// Whether the connection waits for the rest of a request, or for its first one.
+    pub(super) fn is_receiving(&self) -> bool {
+        self.table().is_receiving(self.id)
+    }
+
+    /// Whether an admitted request is open, so that the connection may be closed for another one only after the response.
+    pub(super) fn has_admitted_request(&self) -> bool {
+        self.table().has_admitted_request(self.id, Instant::now())
     }
 
     /// Waits until the connection's deadline, which may change meanwhile: it is read again whenever the task is polled.
@@ -180,19 +185,6 @@
         .await;
     }
 
-    /// Whether the connection waits for the rest of a request, or for its first one.
-    pub(super) fn is_receiving(&self) -> bool {
-        self.connections.table.borrow().is_receiving(self.id)
-    }
-
-    /// Whether an admitted request is open, so that the connection may be closed only after the response.
-    pub(super) fn has_admitted_request(&self) -> bool {
-        self.connections
-            .table
-            .borrow()
-            .has_admitted_request(self.id, Instant::now())
-    }
-
     /// Waits until the connection is to be closed for another one. Completes once.
     pub(super) async fn close_requested(&self) {
         self.close_request.notified().await;
--- a/crates/opensearch/tests/connections.rs
+++ b/crates/opensearch/tests/connections.rs
@@ -197,3 +197,16 @@
         "still being served"
     );
 }
+
+#[test]
+fn a_client_that_sends_requests_ahead_holds_one_place() {
+    let mut front = Front::new();
+    let served: Vec<ConnectionId> = (0..MAX_CONNECTIONS).map(|_| front.accept().0).collect();
+    for id in &served {
+        front.receive_request(*id);
+    }
+    // The response to the first request is not written completely when the second one is read.
+    front.table.on_response_ready(served[0], front.now);
+    assert_eq!(front.receive_request(served[0]), Admission::Admitted);
+    assert_eq!(front.table.open_requests(), MAX_CONNECTIONS);
+}
--- a/crates/standins/tests/search_front_connections.rs
+++ b/crates/standins/tests/search_front_connections.rs
@@ -222,6 +222,16 @@
         let (holder, ended, elapsed) = ended.unwrap();
         assert!(ended, "{holder:?} is still connected after {elapsed:?}");
     }
+    // An incomplete body gets an error, so that the client learns why.
+    let mut stream = connect(address).await.unwrap();
+    let search = search_text(CLASS);
+    let outcome = exchange(
+        &mut stream,
+        &search[..search.len() - 10],
+        BAD_CLIENT_TIMEOUT,
+    )
+    .await;
+    assert_eq!(outcome.status(), Some(408));
     // A client that reads its response and asks again within the idle time keeps its connection.
     let mut stream = TcpStream::connect(address).await.unwrap();
     for _ in 0..2 {
