Search front: end TLS handshakes when the mixer drains, and word the log of closed connections

A client in its TLS handshake delayed the exit for up to 2 s, although a request after it would not have been read; found by reading the change again. The log line for a connection closed for another one also covers clients that do not read a response.

A test with TLS and real processes does not exist yet.

--- a/crates/opensearch/src/front/connection.rs
+++ b/crates/opensearch/src/front/connection.rs
@@ -42,7 +42,7 @@
         };
         return serve_requests(&context, stream, peer, tracked).await;
     };
-    if let Some(stream) = accept_tls(&tls, stream, address, &tracked).await {
+    if let Some(stream) = accept_tls(&context, &tls, stream, address, &tracked).await {
         let certificates = stream.get_ref().1.peer_certificates();
         let certificate_name = certificates
             .and_then(|all| all.first())
@@ -57,6 +57,7 @@
 
 /// The TLS handshake, which is part of the time for the first request; `None` if it fails.
 async fn accept_tls(
+    context: &Context,
     tls: &Tls,
     stream: TcpStream,
     address: IpAddr,
@@ -71,6 +72,8 @@
             return None;
         }
         () = tracked.close_requested() => return None,
+        // No request has arrived, and the mixer exits only once this connection has ended.
+        () = context.queries.listener_closed() => return None,
     };
     result
         .inspect_err(|error| tracing::debug!(%address, %error, "TLS handshake failed"))
--- a/crates/opensearch/src/front/tracked_connection.rs
+++ b/crates/opensearch/src/front/tracked_connection.rs
@@ -63,7 +63,7 @@
                     closed = self.closed_for_others.get(),
                     connections = table.len(),
                     open_requests = table.open_requests(),
-                    "connection limit exceeded: connection without a request closed for another one"
+                    "connection limit exceeded: connection closed for another one"
                 );
             }
         }
