--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -11,6 +11,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -123,18 +124,35 @@
     mixer_program: PathBuf,
 }
 
+/// The values of the second octet of the loopback addresses that clusters use.
+const FIRST_OCTET: u8 = 20;
+const OCTETS: u8 = 100;
+
 /// Loopback address derived from the process id, so that a port that is freed for a moment is not taken by another
 /// process.
 pub fn process_ip() -> IpAddr {
     let pid = std::process::id();
     IpAddr::V4(Ipv4Addr::new(
         127,
-        20 + (pid >> 16) as u8 % 100,
+        FIRST_OCTET + (pid >> 16) as u8 % OCTETS,
         (pid >> 8) as u8,
         (pid as u8).max(1),
     ))
 }
 
+/// Loopback address derived from the process id and the number of the cluster in this process, since clusters that start
+/// at the same time would take each other's ports, too.
+fn cluster_ip() -> IpAddr {
+    static CLUSTERS: AtomicU8 = AtomicU8::new(0);
+    let cluster = CLUSTERS.fetch_add(1, Ordering::Relaxed);
+    let IpAddr::V4(process) = process_ip() else {
+        return process_ip();
+    };
+    let [_, second, third, fourth] = process.octets();
+    let second = FIRST_OCTET + (second - FIRST_OCTET + cluster % 6 * 16) % OCTETS;
+    IpAddr::V4(Ipv4Addr::new(127, second, third, fourth))
+}
+
 /// An address of `ip` with a currently free port.
 ///
 /// # Errors
@@ -197,7 +215,7 @@
     /// # Errors
     /// A file can't be written or a component can't be started.
     pub async fn start(directory: &Path, config: ClusterConfig) -> io::Result<LocalCluster> {
-        let (ip, mixer_program) = (process_ip(), sibling_program("cottonhill")?);
+        let (ip, mixer_program) = (cluster_ip(), sibling_program("cottonhill")?);
         let discovery = Discovery::start(ip).await?;
         let mut leaf_slots = Vec::new();
         for zone in 0..ZONES.len() {
