--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -37,6 +37,8 @@
     pub fleet_size: u32,
     /// Maximum number of open file descriptors of each mixer.
     pub descriptor_limit: usize,
+    /// Memory limit in the configuration of each mixer, in megabytes; none if unset.
+    pub memory_limit_mb: Option<u64>,
     /// Mean service time of a part at a leaf server.
     pub service_time: Duration,
     /// Maximum number of parts in progress at a leaf server.
@@ -59,6 +61,7 @@
             seed: 0,
             fleet_size: 3,
             descriptor_limit: 1024,
+            memory_limit_mb: None,
             service_time,
             leaf_concurrency: 16,
             usage_log: false,
@@ -178,18 +181,18 @@
     config: &ClusterConfig,
     endpoint_list: &Value,
 ) -> Value {
-    let (seed, fleet_size, descriptor_limit) = (
-        config.seed ^ (zone as u64 + 1),
-        config.fleet_size,
-        config.descriptor_limit,
-    );
+    let (seed, fleet_size) = (config.seed ^ (zone as u64 + 1), config.fleet_size);
+    let mut limits = json!({"sockets": config.descriptor_limit});
+    if let Some(megabytes) = config.memory_limit_mb {
+        limits["memory_mb"] = megabytes.into();
+    }
     let class = |(name, objective, timeout, _): &(&str, u64, u64, f64)| {
         json!({"name": name, "aim_ns": objective * NS_PER_MS, "give_up_ns": timeout * NS_PER_MS,
             "semantics": "read_like", "importance": 1.0, "late_value": 0.3})
     };
     json!({
         "name": name, "listen": listen, "discovery": discovery, "seed": format!("{seed:016x}"),
-        "limits": {"sockets": descriptor_limit}, "known": endpoint_list,
+        "limits": limits, "known": endpoint_list,
         "settings": {
             "classes": CLASSES.iter().map(class).collect::<Vec<_>>(),
             "orgs": TENANTS.map(|name| json!({"name": name})),
--- a/crates/standins/src/leaf.rs
+++ b/crates/standins/src/leaf.rs
@@ -15,6 +15,10 @@
 
 /// Longest accepted frame in bytes.
 const MAX_FRAME_BYTES: usize = 1 << 20;
+/// A text of this prefix and a number asks for a value of that many bytes, each of which takes six in JSON.
+pub const LARGE_VALUE_PREFIX: &str = "large:";
+/// The same, in a frame whose last byte is never sent.
+pub const TRUNCATED_VALUE_PREFIX: &str = "truncated:";
 
 /// Counters of a leaf server.
 #[derive(Debug, Default)]
@@ -159,7 +163,11 @@
                         tokio::time::sleep(delay).await;
                         stats.in_flight.fetch_sub(1, Ordering::Relaxed);
                         let line = format!("{id} ok 1 -\n{}", expected_value(shard, &text));
-                        let _ = answers.send(frame(b'A', line.as_bytes())).await;
+                        let mut answer = frame(b'A', line.as_bytes());
+                        if text.starts_with(TRUNCATED_VALUE_PREFIX) {
+                            answer.pop();
+                        }
+                        let _ = answers.send(answer).await;
                     });
                 }
             }
@@ -181,6 +189,12 @@
 /// Value that a shard returns for a query text, so that a client can check every answer. A text that starts with `{` is
 /// a search in JSON, and the value is its result.
 pub fn expected_value(shard: u32, text: &str) -> String {
+    let size = [LARGE_VALUE_PREFIX, TRUNCATED_VALUE_PREFIX]
+        .iter()
+        .find_map(|prefix| text.strip_prefix(prefix)?.parse().ok());
+    if let Some(size) = size {
+        return "\u{1}".repeat(size);
+    }
     if text.starts_with('{') {
         let search = serde_json::from_str(text).unwrap_or_default();
         return crate::search::response_text(shard, &search);
--- /dev/null
+++ b/crates/standins/tests/memory_limit.rs
@@ -0,0 +1,152 @@
+//! The memory limit in the configuration holds against clients, leaf servers and discovery that make a mixer hold as
+//! much data as they can, with real processes. The peak is the kernel's (`VmHWM`).
+
+mod hostile_clients;
+
+use cottonhill_standins::client::{consecutive_parts, Attempt, AttemptOutcome, Connection, Query};
+use cottonhill_standins::cluster::{ClusterConfig, LocalCluster, CLASSES, SHARDS, TENANTS};
+use hostile_clients::Behavior;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::Mutex;
+use tokio::time::{sleep, Instant};
+
+/// The least memory that a mixer is given, with the most descriptors.
+const MEMORY_LIMIT_MB: u64 = 32;
+const DESCRIPTOR_LIMIT: usize = 1024;
+/// More than the descriptors that a mixer has for clients.
+const HOSTILE_CLIENTS: usize = 600;
+const ATTACK_TIME: Duration = Duration::from_millis(3000);
+/// The part of the sound clients' queries that must be answered meanwhile.
+const MIN_SERVED_PERCENT: usize = 90;
+const MIN_QUERIES: usize = 10;
+
+/// One test at a time: together they would need more processor time than the machine has.
+static SEQUENTIAL: Mutex<()> = Mutex::const_new(());
+
+async fn start_cluster(directory: &tempfile::TempDir) -> LocalCluster {
+    let config = ClusterConfig {
+        seed: 49,
+        descriptor_limit: DESCRIPTOR_LIMIT,
+        memory_limit_mb: Some(MEMORY_LIMIT_MB),
+        leaf_concurrency: 1024,
+        ..ClusterConfig::default()
+    };
+    LocalCluster::start(directory.path(), config).await.unwrap()
+}
+
+/// Sends small queries on new connections for a time. Returns their outcomes.
+async fn send_sound_queries(mixer: SocketAddr, name: String) -> Vec<AttemptOutcome> {
+    let query = Query {
+        class: CLASSES[2].0.into(),
+        tenant: TENANTS[1].into(),
+        parts: consecutive_parts(0, 4, SHARDS),
+        text: "sound".into(),
+        key: None,
+    };
+    let mut outcomes = Vec::new();
+    let started_at = Instant::now();
+    while started_at.elapsed() < ATTACK_TIME {
+        let mut outcome = AttemptOutcome::ConnectionLost;
+        // As usual clients do, a query whose connection is closed is sent once more.
+        for retry in 0..2 {
+            if outcome == AttemptOutcome::ConnectionLost {
+                let id = format!("{name}-{}-{retry}", outcomes.len());
+                let attempt = Attempt {
+                    id: &id,
+                    retry: false,
+                    timeout: Duration::from_millis(CLASSES[2].2),
+                    extra_wait: Duration::from_millis(500),
+                };
+                outcome = Connection::new(mixer).send_query(&query, &attempt).await;
+            }
+        }
+        outcomes.push(outcome);
+        sleep(Duration::from_millis(20)).await;
+    }
+    outcomes
+}
+
+fn check_peak_memory(cluster: &mut LocalCluster, cause: &str) {
+    let process = cluster.mixers[0].process.as_mut().unwrap();
+    assert!(process.is_running(), "{cause}: the mixer has ended");
+    let (_, peak_kib) = process.resource_usage().unwrap();
+    eprintln!("{cause}: peak {peak_kib} KiB");
+    assert!(
+        peak_kib * 1024 <= MEMORY_LIMIT_MB * 1_000_000,
+        "{cause}: peak {peak_kib} KiB of {MEMORY_LIMIT_MB} MB"
+    );
+}
+
+/// Runs hostile clients of one kind against a mixer, beside sound ones. Checks the memory and what the sound ones got.
+async fn check_hostile_clients(behavior: Behavior) {
+    let _sequential = SEQUENTIAL.lock().await;
+    let directory = tempfile::tempdir().unwrap();
+    let mut cluster = start_cluster(&directory).await;
+    let mixer = cluster.mixers[0].address;
+    let hostile = hostile_clients::start(mixer, behavior, HOSTILE_CLIENTS);
+    let outcomes = send_sound_queries(mixer, format!("{behavior:?}")).await;
+    drop(hostile);
+    check_peak_memory(&mut cluster, &format!("{behavior:?}"));
+    let is_served = |outcome: &&AttemptOutcome| matches!(outcome, AttemptOutcome::Answer(..));
+    let served = outcomes.iter().filter(is_served).count();
+    eprintln!(
+        "{behavior:?}: {served} of {} sound queries served",
+        outcomes.len()
+    );
+    assert!(
+        outcomes.len() >= MIN_QUERIES && served * 100 >= outcomes.len() * MIN_SERVED_PERCENT,
+        "{behavior:?}: {served} of {} served: {outcomes:?}",
+        outcomes.len()
+    );
+}
+
+macro_rules! hostile_client_tests {
+    ($($test:ident: $behavior:ident,)*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+        async fn $test() {
+            check_hostile_clients(Behavior::$behavior).await;
+        }
+    )*};
+}
+
+hostile_client_tests! {
+    half_sent_large_requests_do_not_pass_the_memory_limit: HalfBody,
+    slowly_sent_large_requests_do_not_pass_the_memory_limit: SlowBody,
+    bodies_in_tiny_chunks_do_not_pass_the_memory_limit: TinyChunks,
+    heads_of_many_short_fields_do_not_pass_the_memory_limit: ManyFields,
+    endless_heads_do_not_pass_the_memory_limit: EndlessHead,
+    complete_large_queries_do_not_pass_the_memory_limit: LargeQueries,
+    unread_large_answers_do_not_pass_the_memory_limit: UnreadLargeValues,
+    truncated_large_frames_do_not_pass_the_memory_limit: TruncatedLargeValues,
+    clients_that_leave_large_queries_do_not_pass_the_memory_limit: DisconnectsAfterLargeQuery,
+}
+
+/// Entries of servers that do not exist, with names that were not used before.
+fn new_endpoints(list: usize, count: usize) -> Vec<serde_json::Value> {
+    (0..count)
+        .map(|server| {
+            serde_json::json!({"name": format!("x{list}-{server}"), "address": "127.0.0.1:1", "zone": "",
+                "group": 60_000, "status": "draining", "weight": 1.0, "since_ms": 0})
+        })
+        .collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endpoint_lists_of_ever_new_servers_do_not_pass_the_memory_limit() {
+    let _sequential = SEQUENTIAL.lock().await;
+    let directory = tempfile::tempdir().unwrap();
+    let mut cluster = start_cluster(&directory).await;
+    for list in 0..6 {
+        cluster.discovery.update(new_endpoints(list, 20_000));
+        sleep(Duration::from_millis(700)).await;
+    }
+    check_peak_memory(&mut cluster, "endpoint lists");
+    let outcomes = send_sound_queries(cluster.mixers[0].address, "listed".into()).await;
+    assert!(
+        outcomes
+            .iter()
+            .all(|outcome| matches!(outcome, AttemptOutcome::Answer(true, _))),
+        "{outcomes:?}"
+    );
+}
