Bound the records of leaf servers and the entries of an update by the memory limit

What callers saw: a node over its memory limit. Cause: an update was bounded by its text alone. Its entries take more memory than their text, a record of a removed server stays for 6 s, and nothing bounded the records, so that lists of ever new servers added up.

An update with more entries is rejected while it is read, as one that is too long. Records of servers removed first make room; entries of further new servers are ignored and counted, the first of an update is logged as an error. Known servers stay in force.

--- a/crates/mixer/src/protocol/endpoint_updates/error.rs
+++ b/crates/mixer/src/protocol/endpoint_updates/error.rs
@@ -20,6 +20,12 @@
         /// Number of entries.
         entries: usize,
     },
+    /// The memory limit of the process does not allow as many entries.
+    #[error("endpoint update of over {max_entries} entries, which is the limit")]
+    OverMemoryLimit {
+        /// Maximum number of entries.
+        max_entries: usize,
+    },
     /// An entry of a delta has no valid name, so that the changed endpoint is unknown.
     #[error("entry {entry} of version {version} has no valid name: {reason}")]
     UnnamedEntry {
@@ -45,7 +51,9 @@
     pub fn is_too_large(&self) -> bool {
         matches!(
             self,
-            UpdateError::TooManyBytes { .. } | UpdateError::TooManyEntries { .. }
+            UpdateError::TooManyBytes { .. }
+                | UpdateError::TooManyEntries { .. }
+                | UpdateError::OverMemoryLimit { .. }
         )
     }
 }
--- a/crates/mixer/src/protocol/endpoint_updates/object_splitter.rs
+++ b/crates/mixer/src/protocol/endpoint_updates/object_splitter.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
+/// Depth of an object in a list in an object: that of an update's entries.
+const ENTRY_DEPTH: usize = 3;
+
 /// Splits a stream into objects incrementally and scans each byte once. Line breaks and the boundaries of the received
 /// pieces have no meaning. Objects are not validated here, but in [`super::parse`].
 #[derive(Default)]
@@ -12,6 +15,8 @@
     /// Number of open braces and brackets.
     depth: usize,
     in_string: bool,
+    /// Number of entries of the next object so far.
+    entries: usize,
     /// Whether the last byte was a backslash in a string that escapes the next byte.
     escaped: bool,
 }
@@ -22,6 +27,11 @@
         &mut self.buffer
     }
 
+    /// Number of scanned entries of the next object. It bounds the memory that its parsed form takes.
+    pub fn entry_count(&self) -> usize {
+        self.entries
+    }
+
     /// Removes and returns the next complete object. Of input that does not start an object, the first byte is
     /// returned, so that [`super::parse`] reports an error.
     pub fn next_object(&mut self) -> Option<Bytes> {
@@ -54,7 +64,10 @@
             b'\\' if self.in_string => self.escaped = true,
             b'"' => self.in_string = !self.in_string,
             _ if self.in_string => {}
-            b'{' | b'[' => self.depth += 1,
+            b'{' | b'[' => {
+                self.depth += 1;
+                self.entries += usize::from(byte == b'{' && self.depth == ENTRY_DEPTH);
+            }
             b'}' | b']' => self.depth = self.depth.saturating_sub(1),
             _ => {}
         }
@@ -65,6 +78,7 @@
         let object = self.buffer.split_to(self.scanned).freeze();
         self.scanned = 0;
         self.in_string = false;
+        self.entries = 0;
         if self.buffer.len() <= object.len() {
             // The remaining bytes are moved to a separate buffer, so that a large object's memory is freed with it.
             self.buffer = BytesMut::from(&self.buffer[..]);
--- a/crates/mixer/src/protocol/http/watch_codec.rs
+++ b/crates/mixer/src/protocol/http/watch_codec.rs
@@ -3,7 +3,9 @@
 use super::body::{BodyError, BodyReader};
 use super::framing::body_reader;
 use super::{MAX_HEADERS, MAX_HEAD_BYTES};
-use crate::protocol::endpoint_updates::{JsonObjectSplitter, UpdateError, MAX_UPDATE_BYTES};
+use crate::protocol::endpoint_updates::{
+    JsonObjectSplitter, UpdateError, MAX_ENTRIES, MAX_UPDATE_BYTES,
+};
 use bytes::{Buf, Bytes, BytesMut};
 use std::fmt;
 use std::io::{self, ErrorKind};
@@ -47,6 +49,7 @@
     body: Option<BodyReader>,
     objects: JsonObjectSplitter,
     max_object_bytes: usize,
+    max_entries: usize,
 }
 
 impl Default for WatchCodec {
@@ -62,6 +65,15 @@
             body: None,
             objects: JsonObjectSplitter::default(),
             max_object_bytes,
+            max_entries: MAX_ENTRIES,
+        }
+    }
+
+    /// Rejects objects of more than `max_entries` entries.
+    pub fn with_max_entries(self, max_entries: usize) -> WatchCodec {
+        WatchCodec {
+            max_entries,
+            ..self
         }
     }
 
@@ -113,6 +125,11 @@
         if let Some(object) = self.objects.next_object() {
             return Ok(Some(object));
         }
+        // Checked while an object is incomplete; the size of a complete one is checked when it is parsed.
+        if self.objects.entry_count() > self.max_entries {
+            let max_entries = self.max_entries;
+            return Err(invalid_data(UpdateError::OverMemoryLimit { max_entries }));
+        }
         if src.len() < unread_before {
             return Ok(Some(Bytes::new()));
         }
--- a/crates/mixer/src/reducer/discovery.rs
+++ b/crates/mixer/src/reducer/discovery.rs
@@ -113,6 +113,7 @@
         update_faults.invalid_entries += invalid_entries;
         update_faults.duplicate_entries += changes.duplicate_entries;
         update_faults.unlisted_removals += changes.unlisted_removals;
+        self.counters.memory.ignored_endpoints += changes.ignored_entries;
     }
 
     pub(super) fn on_discovery_timeout(&mut self, now: Nanos) {
--- a/crates/mixer/src/reducer/mod.rs
+++ b/crates/mixer/src/reducer/mod.rs
@@ -145,6 +145,7 @@
         self.memory_budget = MemoryBudget::new(memory);
         self.queries.memory.set_budget(self.memory_budget);
         self.response_memory.set_budget(self.memory_budget);
+        self.replicas.limit_records(self.memory_budget.endpoints());
         self.discovery.limit_memory(memory);
     }
 
--- a/crates/mixer/src/reducer/removed_replicas.rs
+++ b/crates/mixer/src/reducer/removed_replicas.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// The replicas in the order in which their records expire.
+    pub(super) fn by_expiry(&self) -> impl Iterator<Item = ReplicaId> + '_ {
+        self.expiry.iter().map(|(_, id)| *id)
+    }
+
     /// Takes the next replica whose record has expired off the schedule. The replica counts as removed until
     /// [`RemovedReplicas::remove`].
     pub(super) fn pop_expired(&mut self, now: Nanos) -> Option<ReplicaId> {
--- a/crates/mixer/src/reducer/replicas.rs
+++ b/crates/mixer/src/reducer/replicas.rs
@@ -35,6 +35,8 @@
     pub duplicate_entries: u64,
     /// Number of entries that announce an unlisted server as removed or, in a delta, as draining.
     pub unlisted_removals: u64,
+    /// Number of entries for new servers that were ignored, since there are as many records as allowed.
+    pub ignored_entries: u64,
 }
 
 /// The listed replicas, and the removed replicas whose records are still needed: they have connections, or an update
@@ -51,6 +53,8 @@
     last_id: u64,
     version: u64,
     visited_records: u64,
+    /// Maximum number of records; `None` without a limit.
+    max_records: Option<usize>,
 }
 
 /// An entry that was applied.
@@ -70,6 +74,11 @@
         }
     }
 
+    /// Limits the number of records, including those of removed replicas.
+    pub fn limit_records(&mut self, max_records: usize) {
+        self.max_records = Some(max_records);
+    }
+
     /// The version of the current endpoint list.
     pub fn version(&self) -> u64 {
         self.version
@@ -150,7 +159,39 @@
     /// Applies an update and returns its changes.
     pub fn apply_update(&mut self, now: Nanos, update: EndpointUpdate) -> EndpointChanges {
         let (version, snapshot) = (update.version, update.snapshot);
-        self.apply_entries(now, version, snapshot, update.entries.into_iter())
+        let mut unlisted = Vec::new();
+        if snapshot && self.is_full(update.entries.len()) {
+            // Their records make room for those of new replicas.
+            let names = update.entries.iter().map(|entry| &*entry.name);
+            let listed = names.filter_map(|name| self.table.slot_by_name(name));
+            let listed: HashSet<Slot> = listed.collect();
+            self.mark_unlisted_as_removed(now, &listed, &mut unlisted);
+        }
+        let mut changes = self.apply_entries(now, version, snapshot, update.entries.into_iter());
+        changes.endpoints.splice(0..0, unlisted);
+        changes.not_ready = self.not_ready_among(&changes.endpoints);
+        changes
+    }
+
+    /// Whether there would be more records than allowed with this many more.
+    fn is_full(&self, additional: usize) -> bool {
+        self.max_records
+            .is_some_and(|max_records| self.table.len() + additional > max_records)
+    }
+
+    /// Removes the record of the replica that was removed first and has no connections. Returns false if there is none.
+    fn evict_removed(&mut self) -> bool {
+        let connections = &self.connections;
+        let evicted = self
+            .removed
+            .by_expiry()
+            .find(|id| !connections.contains_key(id));
+        let Some(id) = evicted else {
+            return false;
+        };
+        self.removed.remove(id);
+        self.table.remove(id);
+        true
     }
 
     /// Applies an update without consuming it.
@@ -216,6 +257,10 @@
         if known.is_none() && is_removal(&entry, snapshot) {
             self.on_unlisted_removal(version, &entry, changes);
         }
+        if known.is_none() && self.is_full(1) && !self.evict_removed() {
+            self.on_ignored_entry(version, &entry, changes);
+            return None;
+        }
         let replica = known.and_then(|slot| self.table.record(slot));
         let resolved = self.resolver.resolve(now, entry, replica)?;
         self.update_replica(now, resolved, known, &mut changes.stale_connections)
@@ -241,6 +286,18 @@
         );
     }
 
+    fn on_ignored_entry(&self, version: u64, entry: &EndpointEntry, changes: &mut EndpointChanges) {
+        changes.ignored_entries += 1;
+        if changes.ignored_entries == 1 {
+            tracing::error!(
+                target: log_targets::REPLICAS, version,
+                name = entry.name,
+                records = self.table.len(),
+                "endpoints ignored from this one on: the memory limit allows no more"
+            );
+        }
+    }
+
     fn on_duplicate_entry(
         &self,
         version: u64,
--- a/crates/mixer/src/reducer/watch_policy.rs
+++ b/crates/mixer/src/reducer/watch_policy.rs
@@ -12,7 +12,8 @@
 //!   with jitter (`Backoff`), limited by the staleness bound and by the maximum staleness of the settings.
 
 use super::backoff::Backoff;
-use crate::protocol::endpoint_updates::{self, MAX_UPDATE_BYTES};
+use super::memory_budget::MemoryBudget;
+use crate::protocol::endpoint_updates::{self, MAX_ENTRIES, MAX_UPDATE_BYTES};
 use std::time::Duration;
 
 /// The kind of service that serves the endpoint list. Both modes use the same watch, which delivers each change. They
@@ -75,6 +76,7 @@
     mode: WatchMode,
     backoff: Backoff,
     max_update_bytes: usize,
+    max_entries: usize,
 }
 
 impl WatchPolicy {
@@ -85,12 +87,14 @@
             mode,
             backoff: Backoff::new(seed, mixers, max_retry_interval(mode)),
             max_update_bytes: MAX_UPDATE_BYTES,
+            max_entries: MAX_ENTRIES,
         }
     }
 
     /// Sets the memory limit of the process, in bytes; an update may use a fraction of it.
     pub fn limit_memory(&mut self, memory: usize) {
         self.max_update_bytes = endpoint_updates::max_update_bytes(memory);
+        self.max_entries = MemoryBudget::new(memory).endpoints();
     }
 
     /// The maximum size of an update, in bytes; a larger one is rejected.
@@ -98,6 +102,11 @@
         self.max_update_bytes
     }
 
+    /// The maximum number of entries of an update; one with more is rejected.
+    pub fn max_entries(&self) -> usize {
+        self.max_entries
+    }
+
     /// How long a connect to discovery may take.
     pub fn connect_timeout(&self) -> Duration {
         let retry_interval = max_retry_interval(self.mode);
--- a/crates/mixer/src/transport/discovery_watch.rs
+++ b/crates/mixer/src/transport/discovery_watch.rs
@@ -112,7 +112,8 @@
         let stream = timeout(self.policy.connect_timeout(), connecting)
             .await
             .map_err(|_| ErrorKind::TimedOut)??;
-        let codec = WatchCodec::new(self.policy.max_update_bytes());
+        let codec = WatchCodec::new(self.policy.max_update_bytes())
+            .with_max_entries(self.policy.max_entries());
         let mut connection = Framed::new(stream, codec);
         self.request_and_read(&mut connection).await
     }
