Reject the id of a query whose client has left while the query may still run

Cause: the id of a query was forgotten with the query when its client disconnected, although its parts were at leaf servers and could run until their deadline, or had run. Evidence: in a trace of a real process with parts of 0.5 s, a client sent an id, left after 0.1 s and sent it again 0.05 s later; a leaf server began part 3 at 0.107 s and another one at 0.260 s, part 1 began at 0.736 and at 1.060 s.

Change: the id of a query of which a call was passed to a socket is kept, as a hash, until the query's deadline and the longest client timeout after it, for as many queries as may be open; a query with it gets 409, as one with the id of an open query. A query that was never sent may come again: clients resend a request once if their connection is closed under it.

Measured: `request_id_of_a_client_that_left_is_rejected_while_its_query_may_run` failed before ("a reply at once") and passes; all tests of the crate pass.

--- a/crates/mixer/src/reducer/client_requests.rs
+++ b/crates/mixer/src/reducer/client_requests.rs
@@ -59,6 +59,10 @@
         self.counters.replies.client_disconnected += 1;
         self.events.push(Event::ClientDisconnected { id });
         if let Some(ended) = self.end_query(now, id) {
+            if ended.parts.iter().any(|part| part.was_sent) {
+                self.departed_requests
+                    .insert(&ended.query.request_id, ended.query.deadline);
+            }
             self.limit_write_after_disconnect(now, &ended.query.parts);
             self.record_query(&ended, QueryOutcome::ClientDisconnected);
         }
@@ -139,6 +143,13 @@
             };
             return self.reject_invalid_request(now, client, error);
         }
+        if self.departed_requests.contains(now, &request.request_id) {
+            let error = RequestError {
+                status: 409,
+                reason: "X-Request-ID is that of a query that may still run",
+            };
+            return self.reject_invalid_request(now, client, error);
+        }
         let open_parts = self.queries.unanswered_parts();
         if self.queries.len() + open_parts >= self.settings.max_open_requests {
             self.counters.requests.over_limit += 1;
--- a/crates/mixer/src/reducer/mod.rs
+++ b/crates/mixer/src/reducer/mod.rs
@@ -15,6 +15,7 @@
 mod clients;
 mod connection_handling;
 pub mod counters;
+mod departed_requests;
 mod descriptor_budget;
 mod discovery;
 mod dispatch;
@@ -52,6 +53,7 @@
 use clients::Clients;
 use cottonhill_decisions::{EndpointUpdateKind, Event, Nanos, Settings};
 use counters::Counters;
+use departed_requests::DepartedRequests;
 use descriptor_budget::DescriptorBudget;
 use discovery::Discovery;
 use leaf_connections::LeafConnections;
@@ -85,6 +87,7 @@
     connections: LeafConnections,
     clients: Clients,
     queries: Queries,
+    departed_requests: DepartedRequests,
     attempts: Attempts,
     probes: Probes,
     /// `None` if usage recording is off.
@@ -122,6 +125,10 @@
             connections: LeafConnections::default(),
             clients: Clients::default(),
             queries: Queries::new(&settings.classes),
+            departed_requests: DepartedRequests::new(
+                mixer_settings.deadlines.iter().copied().max().unwrap_or(0),
+                mixer_settings.max_open_requests,
+            ),
             attempts: Attempts::default(),
             probes: Probes::default(),
             usage: None,
@@ -186,6 +193,7 @@
             + self.probes.len()
             + self.clients.len()
             + self.response_memory.len()
+            + self.departed_requests.len()
             + self.connections.len()
             + self.timers.len()
             + self.replicas.len()
--- a/crates/mixer/src/reducer/queries.rs
+++ b/crates/mixer/src/reducer/queries.rs
@@ -46,6 +46,8 @@
     pub(super) wire_id: Rc<str>,
     /// The text of the query.
     pub(super) text: Bytes,
+    /// Whether an attempt was passed to a socket.
+    pub(super) was_sent: bool,
     /// Number of attempts so far.
     pub(super) attempts: u8,
     /// Number of attempts at replicas in other zones.
@@ -72,6 +74,7 @@
             weight,
             wire_id,
             text,
+            was_sent: false,
             attempts: 0,
             cross_zone_attempts: 0,
             value: None,
@@ -252,16 +255,17 @@
         Some(first_sent_at.saturating_add(self.part_idempotency_window(part)?))
     }
 
-    /// Records that an attempt at a part is passed to a socket, if its class has an idempotency window.
+    /// Records that an attempt at a part is passed to a socket, with its time if the class has an idempotency window.
     pub(super) fn record_sent_attempt(&mut self, part: RequestId, number: u8, now: Nanos) {
         let has_window = self
             .parts
             .get(&part)
             .is_some_and(|part| self.part_idempotency_window(part).is_some());
-        if !has_window {
+        let Some(part) = self.parts.get_mut(&part) else {
             return;
-        }
-        if let Some(part) = self.parts.get_mut(&part) {
+        };
+        part.was_sent = true;
+        if has_window {
             part.sent_attempts.push((number, now));
         }
     }
--- a/crates/mixer/tests/client_disconnect.rs
+++ b/crates/mixer/tests/client_disconnect.rs
@@ -4,7 +4,9 @@
 mod harness;
 
 use cottonhill_mixer::protocol::leaf_frames::PartStatus;
+use cottonhill_mixer::protocol::query_json::Reply;
 use cottonhill_mixer::reducer::Input;
+use harness::clients::query_request;
 use harness::{deployments, Harness};
 
 /// No attempt for a client may start later than this after the client has disconnected.
@@ -167,3 +169,52 @@
         assert_eq!(harness.call_count(), calls_before);
     }
 }
+
+/// Guards against an id that ran twice: its client sent it, left, and sent it again while the first run was possible.
+#[test]
+fn request_id_of_a_client_that_left_is_rejected_while_its_query_may_run() {
+    for settings_text in deployments() {
+        let mut harness = Harness::with_settings(&settings_text, 2);
+        let first = harness.connect_client();
+        harness.send_request(first, query_request("again"));
+        harness.open_all_connections();
+        let calls = harness.call_count();
+        assert!(calls > 0, "the query was sent");
+        harness.disconnect_client(first);
+        for wait_ms in [0, 1000, 3000] {
+            harness.advance_ms(wait_ms);
+            let second = harness.connect_client();
+            harness.send_request(second, query_request("again"));
+            let reply = harness.last_reply(second).expect("a reply at once");
+            let Reply::InvalidRequest(error) = reply else {
+                panic!("{reply:?}");
+            };
+            assert_eq!(error.status, 409);
+            assert_eq!(harness.call_count(), calls);
+        }
+        harness.advance_ms(60_000);
+        let last = harness.connect_client();
+        harness.send_request(last, query_request("again"));
+        harness.open_all_connections();
+        assert!(
+            harness.call_count() > calls,
+            "the id is forgotten in the end"
+        );
+    }
+}
+
+/// A client resends a request once, on a new connection, if the mixer closes the first one without having sent it on.
+#[test]
+fn request_id_of_a_query_that_was_not_sent_may_come_again() {
+    for settings_text in deployments() {
+        let mut harness = Harness::with_settings(&settings_text, 2);
+        let first = harness.connect_client();
+        harness.send_request(first, query_request("again"));
+        harness.disconnect_client(first);
+        assert_eq!(harness.call_count(), 0, "the connection is not open yet");
+        let second = harness.connect_client();
+        harness.send_request(second, query_request("again"));
+        harness.open_all_connections();
+        assert!(harness.call_count() > 0);
+    }
+}
--- a/crates/mixer/tests/event_ordering.rs
+++ b/crates/mixer/tests/event_ordering.rs
@@ -445,3 +445,31 @@
     let stats: HttpResponse = http_get(fixture.mixer, "/-/stats").await;
     stats.body.contains(&format!("\"list\": {version}"))
 }
+
+/// Guards against requests that are sent on although their clients had left before they were read: the two events must
+/// not reach different batches, however many clients there are.
+#[test]
+fn sends_nothing_for_clients_that_left_before_their_requests_were_read() {
+    const CLIENTS: usize = 400;
+    run_against_mixer(
+        TestClock::Real,
+        SETTINGS,
+        DiscoveryMode::Snapshot("up"),
+        |fixture| async move {
+            fixture.wait_until_ready().await;
+            // The mixer does not run meanwhile, since this blocks its thread. An odd number of inputs before the queries puts
+            // the two events of one of them into different batches.
+            let mut ready = std::net::TcpStream::connect(fixture.mixer).unwrap();
+            std::io::Write::write_all(&mut ready, b"GET /-/ready HTTP/1.1\r\n\r\n").unwrap();
+            for number in 0..CLIENTS {
+                let mut client = std::net::TcpStream::connect(fixture.mixer).unwrap();
+                let query = query_text(&format!("left{number}"), "");
+                std::io::Write::write_all(&mut client, query.as_bytes()).unwrap();
+            }
+            assert!(
+                !fixture.mixer_connects_to_leaf().await,
+                "a query of a client that has left was sent on"
+            );
+        },
+    );
+}
--- a/crates/mixer/tests/harness/mod.rs
+++ b/crates/mixer/tests/harness/mod.rs
@@ -3,7 +3,7 @@
 
 #![allow(dead_code)] // Each test file uses a different part.
 
-mod clients;
+pub mod clients;
 mod discovery;
 mod leaf_servers;
 mod settings_texts;
