Write the log from a thread with a bounded queue; log rejections at powers of two

Cause: a log line was written to standard error by the mixer's only thread, which blocks while nobody reads the log; two rejections that a client can cause at will (no time left, open-query limit) wrote a line each. Evidence: with a pipe as the log that nobody reads, a query after a flood of queries with X-Timeout: 0m timed out.

Change: a thread writes the lines (tracing-appender), up to 1,024 wait, further ones are dropped; at the exit it gets a second to write the rest. The two rejections are logged when their counters are powers of two. Now no reader of the log and no rate of lines can hold the mixer.

--- a/crates/cottonhill/src/logging.rs
+++ b/crates/cottonhill/src/logging.rs
@@ -1,4 +1,5 @@
-//! Structured logs on standard error: text or JSON, by level and by target.
+//! Structured logs on standard error: text or JSON, by level and by target. A thread writes the lines, since a write
+//! blocks while nobody reads them; lines that do not fit into its queue are dropped and counted.
 //!
 //! A field has the same name in all crates: `client`, `link`, `id` (a query), `replica`, `class` and `tenant` by number,
 //! `address`, `segment`, `member`, `period`, `error`; the name of a duration ends in its unit (`_ms`).
@@ -6,6 +7,7 @@
 use crate::error::{CommandError, RuntimeError};
 use crate::schema::{LOG, SCHEMA};
 use cottonhill_ini::{Settings, SettingsErrors};
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::filter::Targets;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::reload::Handle;
@@ -15,10 +17,14 @@
 /// Environment variable that overrides the level of the settings.
 const LEVEL_VARIABLE: &str = "COTTONHILL_LOG";
 const DEFAULT_LEVEL: &str = "info";
+/// Maximum number of lines that wait to be written.
+const MAX_QUEUED_LINES: usize = 1024;
 
 /// The running logger, whose filter a reload can change.
 pub struct Logging {
     filter: Handle<Targets, Registry>,
+    /// Writes the queued lines when it is dropped, for a limited time.
+    _writer: WorkerGuard,
 }
 
 impl Logging {
@@ -28,9 +34,13 @@
     /// The level or the targets can't be parsed, or a logger is already installed.
     pub fn start(settings: &Settings) -> Result<Logging, CommandError> {
         let (filter, handle) = reload::Layer::new(parse_filter(settings)?);
+        let (lines_queue, writer) = NonBlockingBuilder::default()
+            .buffered_lines_limit(MAX_QUEUED_LINES)
+            .lossy(true)
+            .finish(std::io::stderr());
         let lines = tracing_subscriber::fmt::layer()
             .with_ansi(false)
-            .with_writer(std::io::stderr);
+            .with_writer(lines_queue);
         let layer = if is_json(settings) {
             lines.json().flatten_event(true).boxed()
         } else {
@@ -40,7 +50,10 @@
             .with(layer.with_filter(filter))
             .try_init()
             .map_err(RuntimeError::StartLogging)?;
-        Ok(Logging { filter: handle })
+        Ok(Logging {
+            filter: handle,
+            _writer: writer,
+        })
     }
 
     /// Applies the levels of changed settings.
--- a/crates/mixer/src/reducer/client_requests.rs
+++ b/crates/mixer/src/reducer/client_requests.rs
@@ -153,11 +153,13 @@
         let open_parts = self.queries.unanswered_parts();
         if self.queries.len() + open_parts >= self.settings.max_open_requests {
             self.counters.requests.over_limit += 1;
-            tracing::info!(
-                target: log_targets::CLIENTS, queries = self.queries.len(),
-                open_parts,
-                "query rejected: open-query limit reached"
-            );
+            if is_logged(self.counters.requests.over_limit) {
+                tracing::info!(
+                    target: log_targets::CLIENTS, queries = self.queries.len(),
+                    open_parts,
+                    "query rejected: open-query limit reached"
+                );
+            }
             return self.reject_before_decision(now, client, received_at, &request);
         }
         if !self.has_query_memory(&request) {
@@ -174,10 +176,12 @@
         let remaining_time = self.remaining_time(now, received_at, &request);
         if remaining_time == 0 {
             self.counters.requests.deadline_exceeded += 1;
-            tracing::info!(
-                target: log_targets::CLIENTS, timeout_ms = request.timeout / NANOS_PER_MS,
-                "query rejected: no time remains before its deadline"
-            );
+            if is_logged(self.counters.requests.deadline_exceeded) {
+                tracing::info!(
+                    target: log_targets::CLIENTS, timeout_ms = request.timeout / NANOS_PER_MS,
+                    "query rejected: no time remains before its deadline"
+                );
+            }
             return self.reject_before_decision(now, client, received_at, &request);
         }
         self.accept_query(now, client, received_at, request, remaining_time);
@@ -310,6 +314,12 @@
     }
 }
 
+/// Whether an event of which this many have occurred is logged: the first, the second, the fourth, and so on, since
+/// clients can cause any number of them.
+fn is_logged(count: u64) -> bool {
+    count.is_power_of_two()
+}
+
 /// The part of the client's timeout that is spent on the network and on waiting for this batch.
 fn network_delay(now: Nanos, received_at: Nanos) -> Nanos {
     now.saturating_sub(received_at) + CLIENT_TIMEOUT_MARGIN
