Search front: bound bodies, answers, responses and concurrent searches by the memory limit

Change: an eighth of the memory limit is for what the front holds. A body without memory is refused before it is read (429); answers without memory fail their search (500, since it has run); a multi-search runs fewer searches at once. Memory is held until the response is written, not only rendered.

--- a/crates/mixer/src/reducer/memory_budget.rs
+++ b/crates/mixer/src/reducer/memory_budget.rs
@@ -16,6 +16,7 @@
 const VALUE_DIVISOR: usize = 32;
 const RESPONSE_DIVISOR: usize = 32;
 const FRAME_DIVISOR: usize = 32;
+const FRONTEND_DIVISOR: usize = 8;
 /// The memory for everything but the endpoint list, in bytes.
 const RESERVED_BYTES: usize = 24_000_000;
 /// Memory of a leaf server's entry and record at their peak, when a list is read and applied, in bytes.
@@ -71,6 +72,11 @@
         self.memory_limit / FRAME_DIVISOR
     }
 
+    /// Bytes of requests and answers that the frontends of other protocols hold.
+    pub fn frontend_bytes(&self) -> usize {
+        self.memory_limit / FRONTEND_DIVISOR
+    }
+
     /// Number of leaf servers, including removed ones whose records are retained.
     pub fn endpoints(&self) -> usize {
         let bytes = self.memory_limit.saturating_sub(RESERVED_BYTES);
--- a/crates/mixer/src/transport/query_client.rs
+++ b/crates/mixer/src/transport/query_client.rs
@@ -38,6 +38,11 @@
         &self.shared.query_schema
     }
 
+    /// Returns the number of bytes that the frontends may hold of requests and answers.
+    pub fn frontend_bytes(&self) -> usize {
+        self.shared.memory_budget.frontend_bytes()
+    }
+
     /// Returns the Unix time of the mixer's clock in nanoseconds.
     pub fn now(&self) -> Nanos {
         self.shared.clock.now()
--- a/crates/mixer/src/transport/shared.rs
+++ b/crates/mixer/src/transport/shared.rs
@@ -47,6 +47,8 @@
     pub clock: Clock,
     /// Timeouts, delays and limits of the watch on discovery.
     pub watch_policy: WatchPolicy,
+    /// The limits of the kinds of data.
+    pub memory_budget: MemoryBudget,
     /// Memory of requests that are being received.
     pub request_memory: MemoryPool,
     /// Memory of frames that are being received from leaf servers.
@@ -84,6 +86,7 @@
         Shared {
             clock,
             watch_policy,
+            memory_budget: memory,
             request_memory: MemoryPool::new(memory.request_bytes()),
             frame_memory: MemoryPool::new(memory.frame_bytes()),
             inputs,
--- a/crates/opensearch/src/front/connection.rs
+++ b/crates/opensearch/src/front/connection.rs
@@ -90,8 +90,9 @@
     let service = service_fn(|request| {
         let (context, peer, tracked) = (context.clone(), peer.clone(), tracked.clone());
         async move {
-            let response = request::handle(&context, peer, request, &tracked).await;
-            Ok::<_, Infallible>(response.map(|bytes| ResponseBody::new(bytes, tracked)))
+            let memory = Rc::new(context.memory.request());
+            let response = request::handle(&context, peer, request, &tracked, &memory).await;
+            Ok::<_, Infallible>(response.map(|bytes| ResponseBody::new(bytes, tracked, memory)))
         }
     });
     let stream = TokioIo::new(TrackedStream::new(stream, tracked.clone()));
--- a/crates/opensearch/src/front/mod.rs
+++ b/crates/opensearch/src/front/mod.rs
@@ -6,6 +6,7 @@
 mod multi;
 mod parameters;
 mod request;
+mod request_memory;
 mod response_body;
 mod route;
 mod search;
@@ -16,6 +17,7 @@
 use crate::tls::Tls;
 use cottonhill_mixer::transport::{FrontendGuard, QueryClient};
 use listener::Listener;
+use request_memory::FrontMemory;
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -24,6 +26,7 @@
 struct Context {
     front: FrontSettings,
     queries: QueryClient,
+    memory: FrontMemory,
     /// A random id of this process, the prefix of its request ids: leaf servers must never see the same request id from
     /// two mixers or from two runs of one.
     instance_id: String,
@@ -41,6 +44,7 @@
 ) {
     let context = Rc::new(Context {
         front,
+        memory: FrontMemory::new(queries.frontend_bytes()),
         queries,
         instance_id: format!("os{:016x}", rand::random::<u64>()),
         last_request_number: Cell::new(0),
--- a/crates/opensearch/src/front/multi.rs
+++ b/crates/opensearch/src/front/multi.rs
@@ -14,8 +14,10 @@
 
 /// Maximum number of searches in one `_msearch`.
 const MAX_SEARCHES: usize = 256;
-/// Maximum number of searches of one `_msearch` that run at the same time.
+/// Maximum number of searches of one `_msearch` that run at the same time; fewer if there is no memory for them.
 const MAX_CONCURRENT_SEARCHES: usize = 8;
+/// Memory of a search that runs beside another one of its request, besides its answers, in bytes.
+const CONCURRENT_SEARCH_BYTES: usize = 24 * 1024;
 
 /// The header line before the body of each search of an `_msearch`. The error text that clients receive names the
 /// struct `Line`.
@@ -68,10 +70,13 @@
         }
     };
     for (search_index, pair) in lines.chunks(2).enumerate() {
-        while searches.len() >= MAX_CONCURRENT_SEARCHES {
+        let mut memory = client.memory.reserve_separately(CONCURRENT_SEARCH_BYTES);
+        while searches.len() >= MAX_CONCURRENT_SEARCHES || memory.is_none() && !searches.is_empty()
+        {
             if let Some(finished) = searches.join_next().await {
                 store(finished, &mut responses);
             }
+            memory = memory.or_else(|| client.memory.reserve_separately(CONCURRENT_SEARCH_BYTES));
         }
         let (header, body) = (pair[0].to_vec(), body.slice_ref(pair[1]));
         let (context, client, mut parameters) =
@@ -122,7 +127,9 @@
                 let name = header_index.or(index.as_deref()).unwrap_or("_all");
                 search(&context, received_at, name, &client, &parameters, &body).await
             };
-            (search_index, response.await)
+            let response = response.await;
+            drop(memory);
+            (search_index, response)
         });
     }
     while let Some(finished) = searches.join_next().await {
--- a/crates/opensearch/src/front/request.rs
+++ b/crates/opensearch/src/front/request.rs
@@ -2,6 +2,7 @@
 
 use super::connection::Peer;
 use super::connections::Admission;
+use super::request_memory::RequestMemory;
 use super::route::route;
 use super::tracked_connection::TrackedConnection;
 use super::Context;
@@ -10,7 +11,7 @@
 use crate::tenant;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{
     HeaderMap, HeaderValue, ACCEPT_ENCODING, CONNECTION, CONTENT_ENCODING, CONTENT_TYPE,
     RETRY_AFTER,
@@ -31,6 +32,8 @@
     pub(super) headers: HeaderMap,
     pub(super) address: IpAddr,
     pub(super) certificate_name: Option<String>,
+    /// The memory that its request holds.
+    pub(super) memory: Rc<RequestMemory>,
 }
 
 impl Client {
@@ -60,6 +63,7 @@
     peer: Peer,
     request: Request<Incoming>,
     connection: &TrackedConnection,
+    memory: &Rc<RequestMemory>,
 ) -> Response<Full<Bytes>> {
     let mut response_check = ResponseCheck {
         address: peer.address,
@@ -69,10 +73,15 @@
     let head = request.method() == Method::HEAD;
     let (parts, body) = request.into_parts();
     let opaque_id = parts.headers.get("x-opaque-id").cloned();
-    let mut response = match read_body(context, &parts, body, connection.deadline()).await {
+    let has_memory = memory.reserve_body(&body.size_hint(), context.front.max_body_bytes);
+    let body = match has_memory {
+        true => read_body(context, &parts, body, connection.deadline()).await,
+        false => Err(response::rejected(Some(REFUSED_RETRY_DELAY))),
+    };
+    let mut response = match body {
         Err(error) => write_response(error, head),
         Ok(_) if connection.on_request_received() == Admission::Refused => refuse(head),
-        Ok(body) => serve(context, received_at, peer, &parts, &body).await,
+        Ok(body) => serve(context, received_at, peer, &parts, &body, memory).await,
     };
     if let Some(opaque_id) = opaque_id {
         response.headers_mut().insert("x-opaque-id", opaque_id);
@@ -88,6 +97,7 @@
     peer: Peer,
     parts: &Parts,
     body: &Bytes,
+    memory: &Rc<RequestMemory>,
 ) -> Response<Full<Bytes>> {
     let head = parts.method == Method::HEAD;
     let forwarded: Vec<&str> = parts
@@ -101,6 +111,7 @@
         headers: parts.headers.clone(),
         address,
         certificate_name: peer.certificate_name,
+        memory: memory.clone(),
     };
     match route(context, received_at, parts, &client, body).await {
         Ok(_) if head => json_response(200, Vec::new()),
--- a/crates/opensearch/src/front/response_body.rs
+++ b/crates/opensearch/src/front/response_body.rs
@@ -1,5 +1,6 @@
 //! The body of a response, which reports when it has been taken for writing.
 
+use super::request_memory::RequestMemory;
 use super::tracked_connection::TrackedConnection;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -13,17 +14,26 @@
 pub(super) struct ResponseBody {
     bytes: Full<Bytes>,
     connection: Rc<TrackedConnection>,
+    memory: Rc<RequestMemory>,
 }
 
 impl ResponseBody {
-    pub(super) fn new(bytes: Full<Bytes>, connection: Rc<TrackedConnection>) -> ResponseBody {
-        ResponseBody { bytes, connection }
+    pub(super) fn new(
+        bytes: Full<Bytes>,
+        connection: Rc<TrackedConnection>,
+        memory: Rc<RequestMemory>,
+    ) -> ResponseBody {
+        ResponseBody {
+            bytes,
+            connection,
+            memory,
+        }
     }
 }
 
 impl Drop for ResponseBody {
     fn drop(&mut self) {
-        self.connection.on_response_ready();
+        self.connection.on_response_ready(self.memory.clone());
     }
 }
 
--- a/crates/opensearch/src/front/search.rs
+++ b/crates/opensearch/src/front/search.rs
@@ -2,6 +2,7 @@
 
 use super::parameters::Parameters;
 use super::request::Client;
+use super::request_memory::RequestMemory;
 use super::Context;
 use crate::dsl::{duration_ms, Search, TrackTotalHits};
 use crate::index::{FrontSettings, Index, TenantSource};
@@ -13,6 +14,8 @@
 use std::time::{Duration, Instant};
 
 const NANOS_PER_MS: u64 = 1_000_000;
+/// Answers are held as received, and as a part of the response.
+const COPIES_OF_ANSWERS: usize = 2;
 /// Allowed shortfall from a class's minimum coverage, since sums of weights have rounding errors.
 const COVERAGE_TOLERANCE: f64 = 1e-6;
 
@@ -170,7 +173,7 @@
             ));
         }
     };
-    check_answer_size(front, &hits)?;
+    check_answer_size(front, &hits, &client.memory)?;
     let (shards, answers, coverage) = parse_answers(&selected, &hits, search);
     // Neither shards that answered with an error nor shards that did not answer count towards the coverage.
     let min_coverage = schema.minimum_coverages.get(class).copied().unwrap_or(1.0);
@@ -333,11 +336,22 @@
     }
 }
 
-/// Checks that the answers of all shards together are within the limit of memory for a merge.
-fn check_answer_size(front: &FrontSettings, hits: &[Hit]) -> Result<(), RestResponse> {
+/// Checks that the answers of all shards together are within the limit of memory for a merge, and reserves the memory
+/// until the response is written.
+fn check_answer_size(
+    front: &FrontSettings,
+    hits: &[Hit],
+    memory: &RequestMemory,
+) -> Result<(), RestResponse> {
     let answer_bytes: usize = hits.iter().map(|hit| hit.doc.len()).sum();
     if answer_bytes <= front.max_answer_bytes {
-        return Ok(());
+        return if memory.reserve(COPIES_OF_ANSWERS * answer_bytes) {
+            Ok(())
+        } else {
+            let reason = format!("the shards' answers hold {answer_bytes} bytes, and others hold the memory for them");
+            // Not 429 or 503, since the search has run.
+            Err(response::error(500, "circuit_breaking_exception", &reason))
+        };
     }
     let reason = format!(
         "the shards' answers hold {answer_bytes} bytes, and {} may be held",
--- a/crates/opensearch/src/front/tracked_connection.rs
+++ b/crates/opensearch/src/front/tracked_connection.rs
@@ -1,6 +1,7 @@
 //! The handle of one open connection, through which its tasks report its activity to the [`ConnectionTable`].
 
 use super::connections::{Admission, ConnectionId, ConnectionTable};
+use super::request_memory::RequestMemory;
 use std::cell::{Cell, RefCell, RefMut};
 use std::collections::HashMap;
 use std::future::{poll_fn, Future};
@@ -49,6 +50,7 @@
             id,
             connections: self.clone(),
             close_request,
+            unwritten: RefCell::default(),
         })
     }
 
@@ -113,6 +115,8 @@
     id: ConnectionId,
     connections: Rc<OpenConnections>,
     close_request: Rc<Notify>,
+    /// The memory of the responses that are not written completely.
+    unwritten: RefCell<Vec<Rc<RequestMemory>>>,
 }
 
 impl Drop for TrackedConnection {
@@ -145,13 +149,15 @@
         admission
     }
 
-    /// Notes that a response is about to be written.
-    pub(super) fn on_response_ready(&self) {
+    /// Notes that a response is about to be written, and holds its memory until it is.
+    pub(super) fn on_response_ready(&self, memory: Rc<RequestMemory>) {
+        self.unwritten.borrow_mut().push(memory);
         self.table().on_response_ready(self.id, Instant::now());
     }
 
     /// Notes that everything to be written has been passed to the socket.
     pub(super) fn on_flushed(&self) {
+        self.unwritten.borrow_mut().clear();
         self.table().on_flushed(self.id, Instant::now());
     }
 
--- a/crates/standins/tests/memory_limit.rs
+++ b/crates/standins/tests/memory_limit.rs
@@ -2,13 +2,18 @@
 //! much data as they can, with real processes. The peak is the kernel's (`VmHWM`).
 
 mod hostile_clients;
+mod search_client;
 
 use cottonhill_standins::client::{consecutive_parts, Attempt, AttemptOutcome, Connection, Query};
 use cottonhill_standins::cluster::{ClusterConfig, LocalCluster, CLASSES, SHARDS, TENANTS};
 use hostile_clients::Behavior;
+use search_client::{multi_search_text, search_text, send};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::sync::Mutex;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, Instant};
 
 /// The least memory that a mixer is given, with the most descriptors.
@@ -17,6 +22,10 @@
 /// More than the descriptors that a mixer has for clients.
 const HOSTILE_CLIENTS: usize = 600;
 const ATTACK_TIME: Duration = Duration::from_millis(3000);
+/// More than the connections of the search front.
+const HOSTILE_SEARCH_CLIENTS: usize = 100;
+const SEARCHES_AT_ONCE: usize = 200;
+const HITS_PER_SEARCH: usize = 1000;
 /// The part of the sound clients' queries that must be answered meanwhile.
 const MIN_SERVED_PERCENT: usize = 90;
 const MIN_QUERIES: usize = 10;
@@ -35,6 +44,19 @@
     LocalCluster::start(directory.path(), config).await.unwrap()
 }
 
+/// A cluster that also serves the search front, with its default connection limit.
+async fn start_search_cluster(directory: &tempfile::TempDir) -> LocalCluster {
+    let config = ClusterConfig {
+        seed: 49,
+        descriptor_limit: DESCRIPTOR_LIMIT,
+        memory_limit_mb: Some(MEMORY_LIMIT_MB),
+        leaf_concurrency: 1024,
+        opensearch: true,
+        ..ClusterConfig::default()
+    };
+    LocalCluster::start(directory.path(), config).await.unwrap()
+}
+
 /// Sends small queries on new connections for a time, and at least [`MIN_QUERIES`]. Returns their outcomes.
 async fn send_sound_queries(mixer: SocketAddr, name: String) -> Vec<AttemptOutcome> {
     let query = Query {
@@ -153,3 +175,36 @@
         "{outcomes:?}"
     );
 }
+
+/// Sends a multi-search with a large response and does not read it, again and again.
+async fn leave_multi_searches_unread(front: SocketAddr) {
+    loop {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(1).unwrap();
+        let Ok(mut stream) = socket.connect(front).await else {
+            continue;
+        };
+        let request = multi_search_text(CLASSES[2].0, SEARCHES_AT_ONCE, HITS_PER_SEARCH);
+        let _ = stream.write_all(request.as_bytes()).await;
+        sleep(Duration::from_secs(2)).await;
+    }
+}
+
+/// Guards against clients of the search front whose responses take more than the memory.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn unread_multi_searches_do_not_pass_the_memory_limit() {
+    let _sequential = SEQUENTIAL.lock().await;
+    let directory = tempfile::tempdir().unwrap();
+    let mut cluster = start_search_cluster(&directory).await;
+    let front = cluster.mixers[0].search_address;
+    let mut hostile = JoinSet::new();
+    for _ in 0..HOSTILE_SEARCH_CLIENTS {
+        hostile.spawn(leave_multi_searches_unread(front));
+    }
+    sleep(2 * ATTACK_TIME).await;
+    check_peak_memory(&mut cluster, "multi-searches");
+    drop(hostile);
+    sleep(Duration::from_secs(1)).await;
+    let outcome = send(front, &search_text(CLASSES[2].0), ATTACK_TIME).await;
+    assert_eq!(outcome.status(), Some(200), "after the hostile clients");
+}
