Show what holds memory and descriptors; log the reason of every close and retry

Need: the logs and counters of a node that passed its memory limit could not tell what held the memory. Change: `held` in `/-/stats` has each kind (clients, connections to leaf servers, endpoints, open parts, bytes of requests, frames, parts, texts, values and responses, ids of departed clients) with its limit, and `memory` counts what was refused or dropped for lack of it. At level debug: the end of a client's connection, and of one to a leaf server, with its reason as a typed value; an attempt with its part's wire id, its number and how the last attempt ended; the end of a query with its request id. A refusal by the coordinator shows as "rejected" with the attempts of each part; whether admission or load shedding decided is not logged yet.

--- a/crates/mixer/src/reducer/attempt_results.rs
+++ b/crates/mixer/src/reducer/attempt_results.rs
@@ -1,5 +1,6 @@
 //! Frames from leaf servers, and the end of attempts and probes.
 
+use super::connection_handling::CloseReason;
 use super::leaf_connection::{AnswerTarget, AttemptId};
 use super::probes::ProbeId;
 use super::timers::Timer;
@@ -134,7 +135,7 @@
                 self.end_attempt(attempt, Outcome::Cancelled, LoadReport::new());
             }
         }
-        self.close_connection(now, id);
+        self.close_connection(now, id, CloseReason::MalformedAnswer);
     }
 
     /// Cancels an attempt at a part.
@@ -207,6 +208,9 @@
         report: LoadReport,
     ) {
         self.counters.attempt_outcomes.count(outcome);
+        if let Some(part) = self.queries.part_mut(id.part) {
+            part.last_outcome = Some(outcome);
+        }
         self.events.push(Event::AttemptEnded {
             part: id.part,
             attempt: id.number,
--- a/crates/mixer/src/reducer/batch.rs
+++ b/crates/mixer/src/reducer/batch.rs
@@ -1,5 +1,6 @@
 //! Batch processing: fires due timers, passes events to the coordinator and performs its actions.
 
+use super::connection_handling::CloseReason;
 use super::timers::Timer;
 use super::{Effect, Reducer};
 use crate::log_targets;
@@ -88,7 +89,7 @@
     fn close_idle_connections(&mut self, now: Nanos, replica: ReplicaId) {
         for connection in self.replicas.connections(replica).to_vec() {
             if self.connections.is_idle(connection) {
-                self.close_connection(now, connection);
+                self.close_connection(now, connection, CloseReason::CoordinatorDecision);
             }
         }
     }
--- a/crates/mixer/src/reducer/client_requests.rs
+++ b/crates/mixer/src/reducer/client_requests.rs
@@ -103,6 +103,7 @@
     fn stats_json(&self, now: Nanos) -> Vec<u8> {
         let stats = Stats {
             counters: &self.counters,
+            resources: self.resource_usage(),
             endpoint_list_version: self.replicas.version(),
             ms_since_discovery_message: self.discovery.ms_since_last_message(now),
         };
--- a/crates/mixer/src/reducer/connection_handling.rs
+++ b/crates/mixer/src/reducer/connection_handling.rs
@@ -9,6 +9,27 @@
 /// The fraction of the idle timeout, in tenths, after which the mixer closes a connection. The leaf server closes it at
 /// the end of the timeout, and frames written after that are lost.
 const IDLE_TIMEOUT_TENTHS: Nanos = 9;
+/// Why the mixer closes a connection to a leaf server.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum CloseReason {
+    /// It was not established in time.
+    ConnectTimeout,
+    /// Its replica is not ready or has another address.
+    ReplicaNotReady,
+    /// It was idle for too long.
+    IdleTimeout,
+    /// Another connection needs its descriptor.
+    Evicted,
+    /// Its socket has not accepted a call in time.
+    WriteStalled,
+    /// The leaf server has not answered in time.
+    Unresponsive,
+    /// An answer was malformed, or to an attempt that was never sent.
+    MalformedAnswer,
+    /// The coordinator closes the idle connections of its replica.
+    CoordinatorDecision,
+}
+
 /// The minimum time for a socket to write a call to a draining or removed replica, for settings with a short drain
 /// grace or none.
 const MIN_WRITE_TIMEOUT: Nanos = 25 * NANOS_PER_MS;
@@ -29,6 +50,7 @@
     }
 
     pub(super) fn on_connection_closed(&mut self, now: Nanos, id: ConnectionId) {
+        tracing::debug!(target: log_targets::CONNECTIONS, connection = id, "leaf connection ended by the leaf server or the network");
         match self
             .connections
             .get(id)
@@ -48,7 +70,7 @@
             .map(|connection| connection.phase());
         if phase == Some(ConnectionPhase::Connecting) {
             self.counters.connections.connect_failed += 1;
-            self.close_connection(now, id);
+            self.close_connection(now, id, CloseReason::ConnectTimeout);
         }
     }
 
@@ -56,7 +78,7 @@
     /// address. Sets the idle timer of any other.
     pub(super) fn on_connection_idle(&mut self, now: Nanos, id: ConnectionId) {
         if !self.gets_new_attempts(id) {
-            return self.close_connection(now, id);
+            return self.close_connection(now, id, CloseReason::ReplicaNotReady);
         }
         let due = now + self.idle_close_delay();
         let Some(connection) = self.connections.get_mut(id) else {
@@ -97,7 +119,7 @@
             self.timers.set(due, Timer::IdleTimeout(id));
         } else {
             self.counters.connections.idle_timeouts += 1;
-            self.close_connection(now, id);
+            self.close_connection(now, id, CloseReason::IdleTimeout);
         }
     }
 
@@ -142,7 +164,7 @@
             target: log_targets::CONNECTIONS, connection = id,
             "call not written in time, connection closed"
         );
-        self.close_connection(now, id);
+        self.close_connection(now, id, CloseReason::WriteStalled);
     }
 
     /// The oldest connection to the replica that has capacity, which keeps the number of used connections low; else a
@@ -192,13 +214,14 @@
             return false;
         };
         self.counters.connections.evicted += 1;
-        self.close_connection(now, id);
+        self.close_connection(now, id, CloseReason::Evicted);
         true
     }
 
     /// Closes a connection; its open attempts and probes end as if the connection had been lost. The socket may have
     /// accepted the last byte of a call without having reported it yet, so a call that is being written may run.
-    pub(super) fn close_connection(&mut self, now: Nanos, id: ConnectionId) {
+    pub(super) fn close_connection(&mut self, now: Nanos, id: ConnectionId, reason: CloseReason) {
+        tracing::debug!(target: log_targets::CONNECTIONS, connection = id, ?reason, "leaf connection closed");
         if let Some(connection) = self.connections.get_mut(id) {
             if connection.writing_call_since().is_some() {
                 connection.on_frame_written();
--- a/crates/mixer/src/reducer/counters.rs
+++ b/crates/mixer/src/reducer/counters.rs
@@ -1,6 +1,7 @@
 //! Event counters since the start of the process. `/-/stats` and the log line at exit show them as JSON;
 //! `serde(rename)` states a JSON key that differs from the field's name.
 
+use super::resource_usage::ResourceUsage;
 use cottonhill_decisions::Outcome;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -11,6 +12,9 @@
     /// The counters.
     #[serde(flatten)]
     pub counters: &'a Counters,
+    /// What holds memory and descriptors.
+    #[serde(rename = "held")]
+    pub resources: ResourceUsage,
     /// The version of the current endpoint list.
     #[serde(rename = "list")]
     pub endpoint_list_version: u64,
@@ -53,7 +57,6 @@
     /// Configuration reloads.
     pub reloads: ReloadCounters,
     /// Data that was refused or dropped for lack of memory.
-    #[serde(skip)]
     pub memory: MemoryCounters,
     /// Violated invariants; each is logged with its cause, except for datagrams that are not allowed.
     pub faults: FaultCounters,
--- a/crates/mixer/src/reducer/dispatch.rs
+++ b/crates/mixer/src/reducer/dispatch.rs
@@ -1,6 +1,7 @@
 //! Sends attempts and probes to leaf servers, in frames.
 
 use super::attempts::Attempt;
+use super::connection_handling::CloseReason;
 use super::leaf_connection::{AttemptId, CallAttempt, QueuedFrame};
 use super::probes::Probe;
 use super::timers::Timer;
@@ -33,6 +34,13 @@
         };
         let (wire_id, shard, text) = (part.wire_id.clone(), part.shard, part.text.clone());
         let query = part.query;
+        tracing::debug!(
+            target: log_targets::ATTEMPTS, id = &*wire_id,
+            attempt = id.number,
+            replica = replica.0,
+            last_outcome = ?part.last_outcome,
+            "attempt started"
+        );
         let expires_at = self.attempt_expiry(now, query, expires_at);
         self.counters.sent.attempts += 1;
         self.counters.sent.extra_attempts += u64::from(id.number > 0);
@@ -135,7 +143,7 @@
             return;
         };
         if connection.is_unusable() {
-            self.close_connection(now, id);
+            self.close_connection(now, id, CloseReason::Unresponsive);
         } else if let Some(frame) = connection.next_frame(now) {
             self.write_frame(now, id, frame);
         } else if connection.is_idle() {
--- a/crates/mixer/src/reducer/input.rs
+++ b/crates/mixer/src/reducer/input.rs
@@ -1,5 +1,6 @@
 //! The inputs of the reducer: every external event that it reacts to.
 
+use super::resource_usage::TransportMemory;
 use crate::protocol::endpoint_updates::EndpointUpdate;
 use crate::protocol::http::RequestError;
 use crate::protocol::leaf_frames::LeafResponse;
@@ -64,6 +65,8 @@
         /// The request, or the reason why it is invalid.
         request: Result<ClientRequest, RequestError>,
     },
+    /// The memory that the transport holds; precedes a request for the statistics.
+    TransportMemory(TransportMemory),
     /// The response to a client, larger than
     /// [`LARGE_RESPONSE_BYTES`](crate::protocol::query_json::LARGE_RESPONSE_BYTES), is written or dropped.
     ResponseWritten {
--- a/crates/mixer/src/reducer/mod.rs
+++ b/crates/mixer/src/reducer/mod.rs
@@ -33,6 +33,7 @@
 mod removed_replicas;
 pub mod replica_table;
 pub mod replicas;
+pub mod resource_usage;
 mod response_memory;
 mod shutdown;
 mod timers;
@@ -61,6 +62,7 @@
 use probes::Probes;
 use queries::Queries;
 use replicas::Replicas;
+use resource_usage::TransportMemory;
 use response_memory::ResponseMemory;
 use timers::{Timer, Timers};
 use usage_recorder::UsageRecorder;
@@ -82,6 +84,8 @@
     descriptor_budget: DescriptorBudget,
     memory_budget: MemoryBudget,
     response_memory: ResponseMemory,
+    /// The memory of the transport when it last reported it.
+    transport_memory: TransportMemory,
     discovery: Discovery,
     replicas: Replicas,
     connections: LeafConnections,
@@ -120,6 +124,7 @@
             descriptor_budget: DescriptorBudget::new(descriptors),
             memory_budget: MemoryBudget::default(),
             response_memory: ResponseMemory::default(),
+            transport_memory: TransportMemory::default(),
             discovery: Discovery::new(now, &mixer_settings, &settings, seed),
             replicas,
             connections: LeafConnections::default(),
@@ -215,6 +220,7 @@
                 received_at,
                 request,
             } => self.on_request(now, client, received_at, request),
+            Input::TransportMemory(memory) => self.transport_memory = memory,
             Input::ResponseWritten { client } => self.response_memory.release(client),
             Input::ClientClosed { client } => self.on_client_closed(now, client),
             Input::ConnectionOpened { connection } => self.on_connection_opened(now, connection),
--- a/crates/mixer/src/reducer/queries.rs
+++ b/crates/mixer/src/reducer/queries.rs
@@ -4,7 +4,7 @@
 use super::query_memory::{is_large_text, CallWriter, QueryMemory};
 use super::usage::DeduplicationKey;
 use bytes::Bytes;
-use cottonhill_decisions::{Class, Idempotency, Nanos, RequestId};
+use cottonhill_decisions::{Class, Idempotency, Nanos, Outcome, RequestId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -48,6 +48,8 @@
     pub(super) text: Bytes,
     /// Whether an attempt was passed to a socket.
     pub(super) was_sent: bool,
+    /// How the last attempt that has ended did so: the reason of a retry. A hedged request has none, or an earlier one.
+    pub(super) last_outcome: Option<Outcome>,
     /// Number of attempts so far.
     pub(super) attempts: u8,
     /// Number of attempts at replicas in other zones.
@@ -75,6 +77,7 @@
             wire_id,
             text,
             was_sent: false,
+            last_outcome: None,
             attempts: 0,
             cross_zone_attempts: 0,
             value: None,
--- a/crates/mixer/src/reducer/query_completion.rs
+++ b/crates/mixer/src/reducer/query_completion.rs
@@ -191,6 +191,7 @@
     };
     tracing::debug!(
         target: log_targets::BATCHES, id,
+        request_id = &*ended.query.request_id,
         class = ended.query.class,
         remaining_ms = ended.query.deadline.saturating_sub(now) / NANOS_PER_MS,
         attempts = attempts_by_shard(ended),
--- a/crates/mixer/src/transport/client_connection.rs
+++ b/crates/mixer/src/transport/client_connection.rs
@@ -44,14 +44,20 @@
     AbortResponse,
 }
 
-/// The reason why a connection ends.
+/// The reason why a connection ends. The mixer closes it with a lingering close, so that a reset does not destroy the
+/// last reply, unless other connections need the descriptor.
+#[derive(Debug)]
 enum ConnectionEnd {
     /// The client closed the connection.
     ClientClosed,
-    /// The mixer closes the connection with a lingering close, so that a reset does not destroy the last reply.
-    CloseLingering,
-    /// The mixer closes the connection without lingering, since other connections need the descriptor.
-    CloseImmediately,
+    /// The last response was sent: the client asked for that, its request was invalid, or the mixer shuts down.
+    LastResponse,
+    /// The client has not sent the first byte of its first request in time.
+    IdleTooLong,
+    /// The mixer shuts down, or the driver has ended.
+    Requested,
+    /// Other connections need the descriptor.
+    ClosedForOthers,
 }
 
 /// The task of one connection: serves its requests, closes it and reports its end to the reducer.
@@ -72,13 +78,14 @@
         close_requested: None,
         opened_at: Some(Instant::now()),
     };
-    match connection.serve().await {
-        Ok(ConnectionEnd::ClientClosed) => {}
-        Ok(ConnectionEnd::CloseLingering) => connection.linger(LINGER_TIMEOUT).await,
-        Ok(ConnectionEnd::CloseImmediately) => connection.linger(Duration::ZERO).await,
-        Err(e) => {
-            tracing::debug!(target: log_targets::CLIENT_CONNECTIONS, client, "client connection failed: {e}")
+    let end = connection.serve().await;
+    tracing::debug!(target: log_targets::CLIENT_CONNECTIONS, client, ?end, "client connection ended");
+    match end {
+        Ok(ConnectionEnd::ClientClosed) | Err(_) => {}
+        Ok(ConnectionEnd::LastResponse | ConnectionEnd::IdleTooLong | ConnectionEnd::Requested) => {
+            connection.linger(LINGER_TIMEOUT).await;
         }
+        Ok(ConnectionEnd::ClosedForOthers) => connection.linger(Duration::ZERO).await,
     }
     drop(connection);
     shared.unregister_client(client);
@@ -107,7 +114,7 @@
                 ControlFlow::Break(end) => return Ok(end),
             };
             let Some(keep_alive) = self.submit_request(request).await else {
-                return Ok(ConnectionEnd::CloseLingering);
+                return Ok(ConnectionEnd::Requested);
             };
             let response = match self.await_reply(keep_alive).await? {
                 ControlFlow::Continue(response) => response,
@@ -118,7 +125,7 @@
                 self.close_requested = Some(immediate);
             }
             if close {
-                return Ok(ConnectionEnd::CloseLingering);
+                return Ok(ConnectionEnd::LastResponse);
             }
         }
     }
@@ -150,7 +157,7 @@
                         return Ok(ControlFlow::Continue(request));
                     }
                     Err(_) if opened_at.is_some() => {
-                        return Ok(ControlFlow::Break(ConnectionEnd::CloseLingering));
+                        return Ok(ControlFlow::Break(ConnectionEnd::IdleTooLong));
                     }
                     // A spurious wakeup: no byte of a request has arrived.
                     Err(_) => started_at = None,
@@ -159,7 +166,7 @@
                     Some(ClientCommand::Close { immediate }) => return self.close_idle(immediate).await,
                     // No request is open, so no reply is due or being written.
                     Some(ClientCommand::Reply { .. } | ClientCommand::AbortResponse) => {}
-                    None => return Ok(ControlFlow::Break(ConnectionEnd::CloseLingering)),
+                    None => return Ok(ControlFlow::Break(ConnectionEnd::Requested)),
                 },
             }
         }
@@ -175,9 +182,9 @@
             return request_or_end(received);
         }
         Ok(ControlFlow::Break(if immediate {
-            ConnectionEnd::CloseImmediately
+            ConnectionEnd::ClosedForOthers
         } else {
-            ConnectionEnd::CloseLingering
+            ConnectionEnd::Requested
         }))
     }
 
@@ -215,7 +222,7 @@
                     }
                     // Sent before the reducer processed the open request; the reply to it will close the connection.
                     Some(ClientCommand::Close { .. } | ClientCommand::AbortResponse) => {}
-                    None => return Ok(ControlFlow::Break(ConnectionEnd::CloseLingering)),
+                    None => return Ok(ControlFlow::Break(ConnectionEnd::Requested)),
                 },
                 // Reading ahead detects immediately that the client closes the connection.
                 received = self.reader.read_ahead(self.pipelined.is_some()) => match received? {
--- a/crates/mixer/src/transport/driver.rs
+++ b/crates/mixer/src/transport/driver.rs
@@ -7,7 +7,7 @@
 use super::peers::PeerSocket;
 use super::shared::{QueuedInput, Shared, MAX_QUEUED_INPUTS, MAX_QUEUED_UPDATES};
 use super::{Addresses, Clock, Control, Integrations, PendingReplies, QueryClient};
-use crate::protocol::query_json::QuerySchema;
+use crate::protocol::query_json::{ClientRequest, QuerySchema};
 use crate::reducer::{Input, Reducer};
 use cottonhill_decisions::Nanos;
 use std::io;
@@ -108,6 +108,16 @@
     TimerDue,
 }
 
+fn is_request_for_statistics(input: &Input) -> bool {
+    matches!(
+        input,
+        Input::RequestReceived {
+            request: Ok(ClientRequest::Stats),
+            ..
+        }
+    )
+}
+
 /// The state of the event loop: the reducer and the performer of its effects.
 struct Driver {
     reducer: Reducer,
@@ -201,6 +211,10 @@
 
     /// Applies an input to the reducer and performs the returned effects.
     fn apply(&mut self, now: Nanos, input: Input) {
+        if is_request_for_statistics(&input) {
+            let memory = Input::TransportMemory(self.effects.transport_memory());
+            self.apply(now, memory);
+        }
         for effect in self.reducer.apply(now, input) {
             self.effects.perform(effect);
         }
--- a/crates/mixer/src/transport/effects.rs
+++ b/crates/mixer/src/transport/effects.rs
@@ -8,6 +8,7 @@
 use super::{Addresses, ClientReply, PendingReplies};
 use crate::log_targets;
 use crate::protocol::leaf_frames::LeafRequest;
+use crate::reducer::resource_usage::TransportMemory;
 use crate::reducer::usage::{UsageRecord, Watermark};
 use crate::reducer::{ClientId, ConnectionId, Effect, ExitReport};
 use std::collections::HashMap;
@@ -44,6 +45,11 @@
         }
     }
 
+    /// The memory that the transport holds.
+    pub(super) fn transport_memory(&self) -> TransportMemory {
+        self.shared.transport_memory()
+    }
+
     /// Whether the reducer has returned [`Effect::Exit`].
     pub(super) fn exited(&self) -> bool {
         self.exited
--- a/crates/mixer/src/transport/memory_pool.rs
+++ b/crates/mixer/src/transport/memory_pool.rs
@@ -1,6 +1,7 @@
 //! A limit on the bytes that the transport's tasks hold of one kind of data, with reservations that are released when
 //! they are dropped.
 
+use crate::reducer::resource_usage::Gauge;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -14,7 +15,6 @@
 struct PoolState {
     limit: usize,
     used: Cell<usize>,
-    peak: Cell<usize>,
     evictions: Cell<u64>,
     /// Notified when a reservation shrinks.
     released: Notify,
@@ -23,19 +23,6 @@
     evictable: RefCell<BTreeMap<u64, Rc<Notify>>>,
 }
 
-/// The use of a pool, for the statistics.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct PoolUsage {
-    /// Maximum number of bytes.
-    pub limit: usize,
-    /// Reserved bytes.
-    pub used: usize,
-    /// The highest value of `used` so far.
-    pub peak: usize,
-    /// Number of holders that were evicted for others.
-    pub evictions: u64,
-}
-
 /// No memory is available, and no holder can be evicted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct MemoryExhausted;
@@ -46,7 +33,6 @@
         MemoryPool(Rc::new(PoolState {
             limit,
             used: Cell::new(0),
-            peak: Cell::new(0),
             evictions: Cell::new(0),
             released: Notify::new(),
             last_holder: Cell::new(0),
@@ -54,16 +40,19 @@
         }))
     }
 
-    /// The use of the pool so far.
-    pub(super) fn usage(&self) -> PoolUsage {
-        PoolUsage {
+    /// The reserved bytes and the limit.
+    pub(super) fn usage(&self) -> Gauge {
+        Gauge {
+            held: self.0.used.get(),
             limit: self.0.limit,
-            used: self.0.used.get(),
-            peak: self.0.peak.get(),
-            evictions: self.0.evictions.get(),
         }
     }
 
+    /// Number of holders that were evicted for others.
+    pub(super) fn evictions(&self) -> u64 {
+        self.0.evictions.get()
+    }
+
     /// A reservation of 0 bytes.
     pub(super) fn reservation(&self) -> MemoryReservation {
         MemoryReservation {
@@ -105,7 +94,6 @@
             return false;
         }
         pool.used.set(used);
-        pool.peak.set(pool.peak.get().max(used));
         if bytes < self.bytes {
             pool.released.notify_waiters();
         }
--- a/crates/mixer/src/transport/shared.rs
+++ b/crates/mixer/src/transport/shared.rs
@@ -4,6 +4,7 @@
 use super::memory_pool::{MemoryPool, MemoryReservation};
 use super::Clock;
 use crate::protocol::query_json::QuerySchema;
+use crate::reducer::resource_usage::TransportMemory;
 use crate::reducer::{ClientId, Input, MemoryBudget, WatchPolicy};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -101,6 +102,15 @@
         }
     }
 
+    /// The memory that the tasks hold.
+    pub fn transport_memory(&self) -> TransportMemory {
+        TransportMemory {
+            request_bytes: self.request_memory.usage(),
+            evicted_requests: self.request_memory.evictions(),
+            frame_bytes: self.frame_memory.usage(),
+        }
+    }
+
     /// Queues an input for the reducer. Returns false if the driver has ended.
     pub async fn send_input(&self, input: Input) -> bool {
         let memory = None;
