--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -90,6 +90,13 @@
         }
     }
 
+    /// Whether the connection is open, as far as the client knows.
+    pub fn is_open(&self) -> bool {
+        self.open
+            .as_ref()
+            .is_some_and(|open| !open.send.is_closed())
+    }
+
     fn close(&mut self) {
         if let Some(open) = self.open.take() {
             open.task.abort();
--- a/crates/standins/tests/hostile_clients/mod.rs
+++ b/crates/standins/tests/hostile_clients/mod.rs
@@ -1,6 +1,8 @@
 //! Clients that make a mixer hold as much data as they can, over raw sockets. Each connects again when the mixer closes
 //! its connection.
 
+#![allow(dead_code)] // Each test file uses a different part.
+
 use cottonhill_standins::cluster::{CLASSES, SHARDS, TENANTS};
 use cottonhill_standins::leaf::LARGE_VALUE_PREFIX;
 use std::io;
@@ -45,6 +47,19 @@
     DisconnectsAfterLargeQuery,
 }
 
+impl Behavior {
+    /// Whether its requests are valid and complete, so that each takes the place of a query.
+    pub fn sends_queries(self) -> bool {
+        matches!(
+            self,
+            Behavior::LargeQueries
+                | Behavior::UnreadLargeValues
+                | Behavior::TruncatedLargeValues
+                | Behavior::DisconnectsAfterLargeQuery
+        )
+    }
+}
+
 /// Starts `count` clients of one kind; dropping the set ends them.
 pub fn start(address: SocketAddr, behavior: Behavior, count: usize) -> JoinSet<()> {
     let mut clients = JoinSet::new();
