--- a/crates/standins/tests/memory_limit.rs
+++ b/crates/standins/tests/memory_limit.rs
@@ -33,25 +33,14 @@
 /// One test at a time: together they would need more processor time than the machine has.
 static SEQUENTIAL: Mutex<()> = Mutex::const_new(());
 
-async fn start_cluster(directory: &tempfile::TempDir) -> LocalCluster {
+/// Starts a cluster, with the search front and its default connection limit if `opensearch` is set.
+async fn start_cluster(directory: &tempfile::TempDir, opensearch: bool) -> LocalCluster {
     let config = ClusterConfig {
         seed: 49,
         descriptor_limit: DESCRIPTOR_LIMIT,
         memory_limit_mb: Some(MEMORY_LIMIT_MB),
         leaf_concurrency: 1024,
-        ..ClusterConfig::default()
-    };
-    LocalCluster::start(directory.path(), config).await.unwrap()
-}
-
-/// A cluster that also serves the search front, with its default connection limit.
-async fn start_search_cluster(directory: &tempfile::TempDir) -> LocalCluster {
-    let config = ClusterConfig {
-        seed: 49,
-        descriptor_limit: DESCRIPTOR_LIMIT,
-        memory_limit_mb: Some(MEMORY_LIMIT_MB),
-        leaf_concurrency: 1024,
-        opensearch: true,
+        opensearch,
         ..ClusterConfig::default()
     };
     LocalCluster::start(directory.path(), config).await.unwrap()
@@ -104,7 +93,7 @@
 async fn check_hostile_clients(behavior: Behavior) {
     let _sequential = SEQUENTIAL.lock().await;
     let directory = tempfile::tempdir().unwrap();
-    let mut cluster = start_cluster(&directory).await;
+    let mut cluster = start_cluster(&directory, false).await;
     let mixer = cluster.mixers[0].address;
     if behavior == Behavior::TruncatedLargeValues {
         cluster.truncate_large_answers(0);
@@ -161,7 +150,7 @@
 async fn endpoint_lists_of_ever_new_servers_do_not_pass_the_memory_limit() {
     let _sequential = SEQUENTIAL.lock().await;
     let directory = tempfile::tempdir().unwrap();
-    let mut cluster = start_cluster(&directory).await;
+    let mut cluster = start_cluster(&directory, false).await;
     for list in 0..6 {
         cluster.discovery.update(new_endpoints(list, 20_000));
         sleep(Duration::from_millis(700)).await;
@@ -195,7 +184,7 @@
 async fn unread_multi_searches_do_not_pass_the_memory_limit() {
     let _sequential = SEQUENTIAL.lock().await;
     let directory = tempfile::tempdir().unwrap();
-    let mut cluster = start_search_cluster(&directory).await;
+    let mut cluster = start_cluster(&directory, true).await;
     let front = cluster.mixers[0].search_address;
     let mut hostile = JoinSet::new();
     for _ in 0..HOSTILE_SEARCH_CLIENTS {
--- a/docs/capacity/arithmetic.py
+++ b/docs/capacity/arithmetic.py
@@ -44,7 +44,7 @@
 
 LINK_SHARE, CLIENT_SHARE, OWN, CLOSING = 40, 45, 20, 16
 MARGIN_S, FADE, SPARE_BEATS, HEDGE, HEDGE_CAP, PROBE_SHARE = 0.008, 5.0, 2, (0.125, 0.4), 0.15, 0.1
-SILENT_S, SIGN_OF_LIFE_S, TRY_S, OPEN_CAP, BUFFERS = 3.0, 2.0, 1.0, 4_096, 2 * 16 * 1_024
+SILENT_S, SIGN_OF_LIFE_S, TRY_S, OPEN_CAP, BUFFERS = 3.0, 2.0, 1.0, 4_096, 8 * 1_024
 PREMISES = [
     ("crates/mixer/src", r"LEAF_CONNECTIONS_PERCENT: usize = 40", "40% of the descriptors are for leaf servers"),
     ("crates/mixer/src", r"CLIENTS_PERCENT: usize = 45", "45% are for clients"),
@@ -55,7 +55,7 @@
     ("crates/mixer/src", r"Effect::WatchEndpoints \{", "a reload opens the watch anew"),
     ("crates/mixer/src", r'"settings",\s+self\.mixer_settings != next\.mixer_settings', "settings wait for a restart"),
     ("crates/mixer/src", r"DEFAULT_MAX_OPEN_REQUESTS: usize = 4096", "4,096 queries and parts may be open"),
-    ("crates/mixer/src", r"BUFFER_BYTES: usize = 16 \* 1024", "a connection holds two of 16 KiB"),
+    ("crates/mixer/src", r"FREE_BYTES: usize = 8 \* 1024", "a connection holds 8 KiB without a reservation"),
     ("crates/decisions/src", r"DECAY_TIME_IN_OBJECTIVES: f64 = 5\.0", "estimates fade over five targets"),
     ("crates/decisions/src", r"SAFETY_MARGIN_INTERVALS: Nanos = 2", "two timer intervals are kept free before the target"),
     ("crates/decisions/src", r"MIN_HEDGE_DELAY_FRACTION: f64 = 0\.125;\nconst MAX_HEDGE_DELAY_FRACTION: f64 = 0\.4", "bounds of the hedging delay"),
@@ -376,7 +376,7 @@
          verdict(1 / PAIR_RATE, FADE_S), "subsetting; power of two choices on reported load",
          "missing; reports are read (`reducer/attempt_results.rs`) and not used"],
         ["memory for its work", f"{of(memory, 'MB')} (S15, S16, buffers)", "not given", verdict(None, 0),
-         "buffer pool", "`transport/buffer_pool.rs`"],
+         "byte budgets from `memory_mb`", "`reducer/memory_budget.rs`"],
     ]
 
 
