Split the admission of queries and the writing of responses into modules of their own

`query_admission` now has the checks of a query before the coordinator decides (ids, limits, memory, time), `response_writer` the writing of a response with its time limits. Functions are moved, not changed.

--- a/crates/mixer/src/reducer/mod.rs
+++ b/crates/mixer/src/reducer/mod.rs
@@ -28,6 +28,7 @@
 mod memory_budget;
 mod probes;
 mod queries;
+mod query_admission;
 mod query_completion;
 mod query_memory;
 mod removed_replicas;
--- a/crates/mixer/src/transport/client_connection.rs
+++ b/crates/mixer/src/transport/client_connection.rs
@@ -2,27 +2,23 @@
 
 use super::message_timeout::next_message;
 use super::request_reader::{ReadAhead, ReceivedRequest, RequestReader};
+use super::response_writer::write_response;
 use super::shared::Shared;
 use crate::log_targets;
-use crate::protocol::http::{render_head, RequestError, Response};
+use crate::protocol::http::{RequestError, Response};
 use crate::protocol::query_json::{self, Reply};
 use crate::reducer::{ClientId, Input};
-use bytes::{Buf, Bytes};
 use std::io;
 use std::ops::ControlFlow;
 use tokio::io::{copy, sink, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout, Duration, Instant};
+use tokio::time::{timeout, Duration, Instant};
 
 /// A request must be complete within this duration after its first byte, or it is answered with 408. For the first
 /// request of a connection the duration starts when the connection is opened, so that the connection of a client that
 /// sends nothing is closed.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
-/// A response must be written within this duration, or the connection is closed.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
-/// While no further connection can be accepted, a response must be written within this duration.
-const WRITE_TIMEOUT_AT_CAPACITY: Duration = Duration::from_millis(250);
 /// Maximum duration for which a lingering close reads and discards input.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -121,9 +117,7 @@
                 ControlFlow::Break(end) => return Ok(end),
             };
             let close = response.close;
-            if let Some(immediate) = self.send_response(response).await? {
-                self.close_requested = Some(immediate);
-            }
+            self.send_response(response).await?;
             if close {
                 return Ok(ConnectionEnd::LastResponse);
             }
@@ -236,30 +230,21 @@
         }
     }
 
-    /// Writes a response. Returns whether closing the connection was requested meanwhile, and whether immediately.
+    /// Writes a response. A request to close the connection meanwhile is kept for later.
     ///
     /// # Errors
-    /// `OutOfMemory` if the client does not read the response while other responses need the memory, `TimedOut` if the client does not read the response within [`WRITE_TIMEOUT`], or within
-    /// [`WRITE_TIMEOUT_AT_CAPACITY`] if no further connection can be accepted, and the errors of the socket.
-    async fn send_response(&mut self, response: Response) -> io::Result<Option<bool>> {
+    /// Those of [`write_response`].
+    async fn send_response(&mut self, response: Response) -> io::Result<()> {
         let is_large = response.body.len() > query_json::LARGE_RESPONSE_BYTES;
-        let head = Bytes::from(render_head(&response));
-        let mut bytes = head.chain(Bytes::from(response.body));
-        let mut close_requested = None;
-        let result = tokio::select! {
-            biased;
-            sent = self.reader.stream_mut().write_all_buf(&mut bytes) => sent,
-            () = write_overdue(self.shared) => Err(io::ErrorKind::TimedOut.into()),
-            () = abort_requested(&mut self.commands, &mut close_requested) => Err(io::ErrorKind::OutOfMemory.into()),
-        };
-        drop(bytes);
+        let stream = self.reader.stream_mut();
+        let result = write_response(self.shared, stream, &mut self.commands, response).await;
         if is_large {
-            let written = Input::ResponseWritten {
-                client: self.client,
-            };
+            let client = self.client;
+            let written = Input::ResponseWritten { client };
             self.shared.send_input(written).await;
         }
-        result.map(|()| close_requested)
+        self.close_requested = result?;
+        Ok(())
     }
 
     /// A lingering close: shuts down the write side and discards input for up to `max_duration`. Closing a socket with
@@ -281,29 +266,6 @@
     }
 }
 
-/// Waits until the response that is being written has to be aborted. A request to close the connection is kept for later.
-async fn abort_requested(
-    commands: &mut mpsc::Receiver<ClientCommand>,
-    close_requested: &mut Option<bool>,
-) {
-    loop {
-        match commands.recv().await {
-            Some(ClientCommand::AbortResponse) => return,
-            Some(ClientCommand::Close { immediate }) => *close_requested = Some(immediate),
-            // No further request is open.
-            Some(ClientCommand::Reply { .. }) => {}
-            None => std::future::pending().await,
-        }
-    }
-}
-
-/// Waits until a response that is being written from now on is overdue.
-async fn write_overdue(shared: &Shared) {
-    sleep(WRITE_TIMEOUT_AT_CAPACITY).await;
-    let remaining = WRITE_TIMEOUT.saturating_sub(WRITE_TIMEOUT_AT_CAPACITY);
-    let _ = timeout(remaining, shared.capacity_reached()).await;
-}
-
 /// Converts the result of a read to a request, or to the end of the connection by the client.
 fn request_or_end(
     received: io::Result<Option<ReceivedRequest>>,
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -19,6 +19,7 @@
 mod pending_replies;
 mod query_client;
 mod request_reader;
+mod response_writer;
 mod shared;
 
 pub use clock::Clock;
--- a/docs/capacity/arithmetic.py
+++ b/docs/capacity/arithmetic.py
@@ -368,7 +368,7 @@
         ["69 ms at p99", f"leaf servers' p{100 * (1 - LATE_SHARE):.3f}", "69 ms less the mixer's share",
          verdict(None, 0), "hedged requests with a cap", "`hedging.rs`"],
         ["open queries and parts", number(open_parts), f"{OPEN_CAP:,} (`open_cap`)", verdict(open_parts, OPEN_CAP),
-         "admission control", "`reducer/client_requests.rs`"],
+         "admission control", "`reducer/query_admission.rs`"],
         ["connections to leaf servers", f"{number(LEAVES)} (full mesh)", number(LINKS), verdict(LEAVES, LINKS),
          "deterministic subsetting, or a tree of aggregators",
          "missing; `evict_idle_connection` closes the longest idle"],
