Decode few pieces of large requests in one turn of the event loop

Cause: each connection decoded a piece of its body in every turn of the loop, so a turn took as long as all connections together, and a query needs several turns.

Change: 16 pieces of 4 KiB are decoded in a turn, in the order in which connections ask; a request of one piece needs no turn of its own.

--- a/crates/mixer/src/transport/client_connection.rs
+++ b/crates/mixer/src/transport/client_connection.rs
@@ -68,7 +68,7 @@
     let mut connection = ClientConnection {
         shared: &shared,
         client,
-        reader: RequestReader::new(stream, &shared.request_memory),
+        reader: RequestReader::new(stream, &shared.request_memory, &shared.request_turns),
         commands,
         pipelined: None,
         close_requested: None,
--- a/crates/mixer/src/transport/request_reader.rs
+++ b/crates/mixer/src/transport/request_reader.rs
@@ -10,9 +10,11 @@
 use std::future::{pending, poll_fn};
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncReadExt, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::task::yield_now;
 use tokio::time::error::Elapsed;
 use tokio::time::{timeout, Duration};
@@ -22,6 +24,8 @@
 const READ_BYTES: usize = 4 * 1024;
 /// Bytes that each connection may hold without a reservation: more than usual requests have.
 const FREE_BYTES: usize = 8 * 1024;
+/// Pieces of large requests that are decoded in one turn of the event loop.
+pub(super) const PIECES_PER_TURN: usize = 16;
 /// Maximum number of bytes buffered after a pipelined request.
 const MAX_BYTES_AHEAD: usize = 16 * 1024;
 
@@ -48,6 +52,7 @@
     stream: TcpStream,
     codec: ServerCodec,
     buffer: BytesMut,
+    turns: Rc<Semaphore>,
     pool: MemoryPool,
     /// The memory beyond [`FREE_BYTES`] of the request being read.
     memory: MemoryReservation,
@@ -70,11 +75,17 @@
 }
 
 impl RequestReader {
-    pub(super) fn new(stream: TcpStream, pool: &MemoryPool) -> RequestReader {
+    /// Reads from a connection within the memory of `pool`, and decodes the pieces of large requests in `turns`.
+    pub(super) fn new(
+        stream: TcpStream,
+        pool: &MemoryPool,
+        turns: &Rc<Semaphore>,
+    ) -> RequestReader {
         RequestReader {
             stream,
             codec: ServerCodec::default(),
             buffer: BytesMut::new(),
+            turns: turns.clone(),
             pool: pool.clone(),
             memory: pool.reservation(),
             evictable: None,
@@ -115,15 +126,16 @@
 
     async fn read_request_at_pace(&mut self, pace: Pace) -> io::Result<Option<ReceivedRequest>> {
         loop {
-            if let Some(request) = self.codec.decode(&mut self.buffer)? {
+            let decoded = if pace == Pace::Yielding && self.codec.has_partial_request() {
+                self.decode_in_turn().await?
+            } else {
+                self.codec.decode(&mut self.buffer)?
+            };
+            if let Some(request) = decoded {
                 return Ok(Some(self.finish_request(request)));
             }
             match self.read_more().await? {
-                ReadMore::Bytes => {
-                    if pace == Pace::Yielding && self.codec.has_partial_request() {
-                        yield_now().await;
-                    }
-                }
+                ReadMore::Bytes => {}
                 ReadMore::End => return Ok(None),
                 ReadMore::OutOfMemory => {
                     return Ok(Some(self.abandon_request(RequestError::out_of_memory())));
@@ -132,6 +144,19 @@
         }
     }
 
+    /// Decodes a further piece of a large request. Only a few pieces are decoded in one turn of the event loop, so that
+    /// many large requests delay others by little. Cancel safe.
+    async fn decode_in_turn(&mut self) -> io::Result<Option<Result<Request, RequestError>>> {
+        // Never closed.
+        let turn = self.turns.acquire().await.ok();
+        let decoded = self.codec.decode(&mut self.buffer)?;
+        if decoded.is_none() {
+            yield_now().await;
+        }
+        drop(turn);
+        Ok(decoded)
+    }
+
     /// Passes the memory of a request on with it.
     fn finish_request(&mut self, request: Result<Request, RequestError>) -> ReceivedRequest {
         let mut memory = std::mem::replace(&mut self.memory, self.pool.reservation());
--- a/crates/mixer/src/transport/shared.rs
+++ b/crates/mixer/src/transport/shared.rs
@@ -2,6 +2,7 @@
 
 use super::client_connection::ClientCommand;
 use super::memory_pool::{MemoryPool, MemoryReservation};
+use super::request_reader::PIECES_PER_TURN;
 use super::Clock;
 use crate::protocol::query_json::QuerySchema;
 use crate::reducer::resource_usage::TransportMemory;
@@ -9,7 +10,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use tokio::sync::{mpsc, watch, Notify};
+use tokio::sync::{mpsc, watch, Notify, Semaphore};
 
 /// Capacity of the queue of inputs. Sockets are not read while it is full.
 pub(super) const MAX_QUEUED_INPUTS: usize = 1024;
@@ -52,6 +53,8 @@
     pub memory_budget: MemoryBudget,
     /// Memory of requests that are being received.
     pub request_memory: MemoryPool,
+    /// Turns in which pieces of large requests are decoded.
+    pub request_turns: Rc<Semaphore>,
     /// Memory of frames that are being received from leaf servers.
     pub frame_memory: MemoryPool,
     /// Queue of inputs for the reducer.
@@ -89,6 +92,7 @@
             watch_policy,
             memory_budget: memory,
             request_memory: MemoryPool::new(memory.request_bytes()),
+            request_turns: Rc::new(Semaphore::new(PIECES_PER_TURN)),
             frame_memory: MemoryPool::new(memory.frame_bytes()),
             inputs,
             updates,
