Test bed: choose the ports of a mixer while all of them are bound

Trace: its log shows the search front and the query front at one port, 46429, and "Address already in use". Cause: the bed bound a free port, freed it and asked for the next one, three times, and the system may give the same port again. Now the three are bound at once before they are freed.

Measured: the race was seen once, so no run shows that it is gone; three listeners that are bound at the same time can't share a port.

--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -164,6 +164,21 @@
     TcpListener::bind((ip, 0))?.local_addr()
 }
 
+/// Addresses of `ip` with different ports that are currently free: all are bound before any of them is freed.
+///
+/// # Errors
+/// Too few ports are free.
+fn free_ports<const COUNT: usize>(ip: IpAddr) -> io::Result<[SocketAddr; COUNT]> {
+    let mut listeners = Vec::with_capacity(COUNT);
+    let mut addresses = [SocketAddr::new(ip, 0); COUNT];
+    for address in &mut addresses {
+        let listener = TcpListener::bind((ip, 0))?;
+        *address = listener.local_addr()?;
+        listeners.push(listener);
+    }
+    Ok(addresses)
+}
+
 /// Current time in Unix milliseconds.
 pub fn now_ms() -> u64 {
     SystemTime::now()
@@ -248,8 +263,7 @@
         for (zone, _) in ZONES.iter().enumerate() {
             let name = format!("n{zone}");
             let file = |extension: &str| directory.join(format!("{name}.{extension}"));
-            let (address, usage_address, search_address) =
-                (free_port(ip)?, free_port(ip)?, free_port(ip)?);
+            let [address, usage_address, search_address] = free_ports(ip)?;
             let (config_file, settings_file, usage_directory) =
                 (file("json"), file("ini"), file("usage"));
             let (discovery_address, endpoint_list) =
