Search front: take its memory from the same kind of pool as the transport, and show it

Change: `MemoryPool` and its reservations serve both; `held.frontend_bytes` shows the front's. A sum that could overflow saturates.

--- a/crates/mixer/src/reducer/resource_usage.rs
+++ b/crates/mixer/src/reducer/resource_usage.rs
@@ -21,6 +21,8 @@
     pub evicted_requests: u64,
     /// Frames that are being received from leaf servers, beyond what each connection may hold.
     pub frame_bytes: Gauge,
+    /// Requests and answers in the frontends of other protocols.
+    pub frontend_bytes: Gauge,
 }
 
 /// What holds memory and descriptors.
--- a/crates/mixer/src/transport/memory_pool.rs
+++ b/crates/mixer/src/transport/memory_pool.rs
@@ -1,4 +1,4 @@
-//! A limit on the bytes that the transport's tasks hold of one kind of data, with reservations that are released when
+//! A limit on the bytes that tasks, of the transport and of the frontends, hold of one kind of data, with reservations that are released when
 //! they are dropped.
 
 use crate::reducer::resource_usage::Gauge;
@@ -9,7 +9,7 @@
 
 /// A number of bytes that several tasks share. Clones refer to the same pool.
 #[derive(Clone, Debug)]
-pub(super) struct MemoryPool(Rc<PoolState>);
+pub struct MemoryPool(Rc<PoolState>);
 
 #[derive(Debug)]
 struct PoolState {
@@ -54,7 +54,7 @@
     }
 
     /// A reservation of 0 bytes.
-    pub(super) fn reservation(&self) -> MemoryReservation {
+    pub fn reservation(&self) -> MemoryReservation {
         MemoryReservation {
             pool: self.clone(),
             bytes: 0,
@@ -75,21 +75,21 @@
 
 /// A number of bytes that one task holds of a pool.
 #[derive(Debug)]
-pub(super) struct MemoryReservation {
+pub struct MemoryReservation {
     pool: MemoryPool,
     bytes: usize,
 }
 
 impl MemoryReservation {
     /// Number of reserved bytes.
-    pub(super) fn bytes(&self) -> usize {
+    pub fn bytes(&self) -> usize {
         self.bytes
     }
 
     /// Changes the number of bytes. Returns false, without a change, if the pool has too few.
-    pub(super) fn try_resize(&mut self, bytes: usize) -> bool {
+    pub fn try_resize(&mut self, bytes: usize) -> bool {
         let pool = &self.pool.0;
-        let used = pool.used.get() - self.bytes + bytes;
+        let used = (pool.used.get() - self.bytes).saturating_add(bytes);
         if bytes > self.bytes && used > pool.limit {
             return false;
         }
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -26,6 +26,7 @@
 pub use discovery_watch::watch_endpoints;
 pub use driver::serve;
 pub use frontend::{FrontendGuard, FrontendStarter};
+pub use memory_pool::{MemoryPool, MemoryReservation};
 pub use pending_replies::{ClientReply, PendingReplies, Recorder};
 pub use query_client::QueryClient;
 pub use shared::MAX_QUEUED_UPDATES;
--- a/crates/mixer/src/transport/query_client.rs
+++ b/crates/mixer/src/transport/query_client.rs
@@ -1,6 +1,7 @@
 //! Queries from within the process: frontends of other protocols send them to the same reducer as native clients.
 
 use super::client_connection::ClientCommand;
+use super::memory_pool::MemoryPool;
 use super::shared::{ClientKind, Shared};
 use crate::protocol::query_json::{ClientRequest, QueryRequest, QuerySchema, Reply};
 use crate::reducer::{ClientId, Input};
@@ -38,9 +39,9 @@
         &self.shared.query_schema
     }
 
-    /// Returns the number of bytes that the frontends may hold of requests and answers.
-    pub fn frontend_bytes(&self) -> usize {
-        self.shared.memory_budget.frontend_bytes()
+    /// Returns the memory for requests and answers in all frontends.
+    pub fn frontend_memory(&self) -> &MemoryPool {
+        &self.shared.frontend_memory
     }
 
     /// Returns the Unix time of the mixer's clock in nanoseconds.
--- a/crates/mixer/src/transport/shared.rs
+++ b/crates/mixer/src/transport/shared.rs
@@ -49,14 +49,14 @@
     pub clock: Clock,
     /// Timeouts, delays and limits of the watch on discovery.
     pub watch_policy: WatchPolicy,
-    /// The limits of the kinds of data.
-    pub memory_budget: MemoryBudget,
     /// Memory of requests that are being received.
     pub request_memory: MemoryPool,
     /// Turns in which pieces of large requests are decoded.
     pub request_turns: Rc<Semaphore>,
     /// Memory of frames that are being received from leaf servers.
     pub frame_memory: MemoryPool,
+    /// Memory of requests and answers in the frontends of other protocols.
+    pub frontend_memory: MemoryPool,
     /// Queue of inputs for the reducer.
     inputs: mpsc::Sender<QueuedInput>,
     /// Queue of inputs from discovery, separate so that they do not wait behind the others.
@@ -90,10 +90,10 @@
         Shared {
             clock,
             watch_policy,
-            memory_budget: memory,
             request_memory: MemoryPool::new(memory.request_bytes()),
             request_turns: Rc::new(Semaphore::new(PIECES_PER_TURN)),
             frame_memory: MemoryPool::new(memory.frame_bytes()),
+            frontend_memory: MemoryPool::new(memory.frontend_bytes()),
             inputs,
             updates,
             query_schema: Rc::new(query_schema),
@@ -112,6 +112,7 @@
             request_bytes: self.request_memory.usage(),
             evicted_requests: self.request_memory.evictions(),
             frame_bytes: self.frame_memory.usage(),
+            frontend_bytes: self.frontend_memory.usage(),
         }
     }
 
--- a/crates/opensearch/src/front/connection.rs
+++ b/crates/opensearch/src/front/connection.rs
@@ -1,6 +1,7 @@
 //! The task of one connection: its TLS handshake, its requests and its end.
 
 use super::request;
+use super::request_memory::RequestMemory;
 use super::response_body::ResponseBody;
 use super::tracked_connection::TrackedConnection;
 use super::tracked_stream::TrackedStream;
@@ -90,7 +91,7 @@
     let service = service_fn(|request| {
         let (context, peer, tracked) = (context.clone(), peer.clone(), tracked.clone());
         async move {
-            let memory = Rc::new(context.memory.request());
+            let memory = Rc::new(RequestMemory::new(context.queries.frontend_memory()));
             let response = request::handle(&context, peer, request, &tracked, &memory).await;
             Ok::<_, Infallible>(response.map(|bytes| ResponseBody::new(bytes, tracked, memory)))
         }
--- a/crates/opensearch/src/front/mod.rs
+++ b/crates/opensearch/src/front/mod.rs
@@ -17,7 +17,6 @@
 use crate::tls::Tls;
 use cottonhill_mixer::transport::{FrontendGuard, QueryClient};
 use listener::Listener;
-use request_memory::FrontMemory;
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -26,7 +25,6 @@
 struct Context {
     front: FrontSettings,
     queries: QueryClient,
-    memory: FrontMemory,
     /// A random id of this process, the prefix of its request ids: leaf servers must never see the same request id from
     /// two mixers or from two runs of one.
     instance_id: String,
@@ -44,7 +42,6 @@
 ) {
     let context = Rc::new(Context {
         front,
-        memory: FrontMemory::new(queries.frontend_bytes()),
         queries,
         instance_id: format!("os{:016x}", rand::random::<u64>()),
         last_request_number: Cell::new(0),
--- a/crates/opensearch/src/front/request.rs
+++ b/crates/opensearch/src/front/request.rs
@@ -74,9 +74,10 @@
     let (parts, body) = request.into_parts();
     let opaque_id = parts.headers.get("x-opaque-id").cloned();
     let has_memory = memory.reserve_body(&body.size_hint(), context.front.max_body_bytes);
-    let body = match has_memory {
-        true => read_body(context, &parts, body, connection.deadline()).await,
-        false => Err(response::rejected(Some(REFUSED_RETRY_DELAY))),
+    let body = if has_memory {
+        read_body(context, &parts, body, connection.deadline()).await
+    } else {
+        Err(response::rejected(Some(REFUSED_RETRY_DELAY)))
     };
     let mut response = match body {
         Err(error) => write_response(error, head),
--- a/crates/opensearch/src/front/request_memory.rs
+++ b/crates/opensearch/src/front/request_memory.rs
@@ -1,52 +1,35 @@
-//! The memory that the requests of the front hold: their bodies, and the shards' answers until the response is written.
+//! The memory that a request of the front takes: its body, and the shards' answers until the response is written.
 
+use cottonhill_mixer::transport::{MemoryPool, MemoryReservation};
 use hyper::body::SizeHint;
 use std::cell::RefCell;
-use std::sync::Arc;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// The unit of reservations, in bytes.
-const UNIT_BYTES: usize = 1024;
-
-/// The memory for all requests. Clones refer to the same memory.
-#[derive(Clone)]
-pub(super) struct FrontMemory(Arc<Semaphore>);
-
-impl FrontMemory {
-    /// Memory of `bytes` bytes.
-    pub(super) fn new(bytes: usize) -> FrontMemory {
-        let units = (bytes / UNIT_BYTES).min(Semaphore::MAX_PERMITS);
-        FrontMemory(Arc::new(Semaphore::new(units)))
-    }
+/// The memory of one request, which is released when it is dropped.
+pub(super) struct RequestMemory {
+    pool: MemoryPool,
+    reserved: RefCell<MemoryReservation>,
+}
 
-    /// A request that holds no memory yet.
-    pub(super) fn request(&self) -> RequestMemory {
+impl RequestMemory {
+    /// A request without memory so far.
+    pub(super) fn new(pool: &MemoryPool) -> RequestMemory {
         RequestMemory {
-            memory: self.clone(),
-            reserved: RefCell::default(),
+            pool: pool.clone(),
+            reserved: RefCell::new(pool.reservation()),
         }
     }
-}
 
-/// The memory that one request holds until it is dropped.
-pub(super) struct RequestMemory {
-    memory: FrontMemory,
-    reserved: RefCell<Vec<OwnedSemaphorePermit>>,
-}
-
-impl RequestMemory {
     /// Reserves this many bytes more. Returns false if there are too few.
     pub(super) fn reserve(&self, bytes: usize) -> bool {
-        let reserved = self.reserve_separately(bytes);
-        let is_reserved = reserved.is_some();
-        self.reserved.borrow_mut().extend(reserved);
-        is_reserved
+        let mut reserved = self.reserved.borrow_mut();
+        let total = reserved.bytes().saturating_add(bytes);
+        reserved.try_resize(total)
     }
 
     /// Reserves this many bytes until the returned reservation is dropped; `None` if there are too few.
-    pub(super) fn reserve_separately(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
-        let units = u32::try_from(bytes.div_ceil(UNIT_BYTES)).ok()?;
-        self.memory.0.clone().try_acquire_many_owned(units).ok()
+    pub(super) fn reserve_separately(&self, bytes: usize) -> Option<MemoryReservation> {
+        let mut reserved = self.pool.reservation();
+        reserved.try_resize(bytes).then_some(reserved)
     }
 
     /// Reserves memory for a body, of `max_bytes` if its size is not known.
