--- a/crates/cottonhill/src/logging.rs
+++ b/crates/cottonhill/src/logging.rs
@@ -1,5 +1,5 @@
 //! Structured logs on standard error: text or JSON, by level and by target. A thread writes the lines, since a write
-//! blocks while nobody reads them; lines that do not fit into its queue are dropped and counted.
+//! blocks while they are not read; lines that do not fit into its queue are dropped.
 //!
 //! A field has the same name in all crates: `client`, `link`, `id` (a query), `replica`, `class` and `tenant` by number,
 //! `address`, `segment`, `member`, `period`, `error`; the name of a duration ends in its unit (`_ms`).
--- a/crates/mixer/src/protocol/http/watch_codec.rs
+++ b/crates/mixer/src/protocol/http/watch_codec.rs
@@ -125,7 +125,7 @@
         if let Some(object) = self.objects.next_object() {
             return Ok(Some(object));
         }
-        // Checked while an object is incomplete; the size of a complete one is checked when it is parsed.
+        // Checked while an object is incomplete: a complete one exceeds the limit at most by the entries of its last read.
         if self.objects.entry_count() > self.max_entries {
             let max_entries = self.max_entries;
             return Err(invalid_data(UpdateError::OverMemoryLimit { max_entries }));
--- a/crates/mixer/src/reducer/attempt_results.rs
+++ b/crates/mixer/src/reducer/attempt_results.rs
@@ -83,7 +83,7 @@
     }
 
     /// Fails the query of a value for which there is no memory. Neither its replica nor load is the reason, so the
-    /// coordinator is told that the query has ended, and not that an attempt has failed.
+    /// coordinator is notified that the query has ended, and not that an attempt has failed.
     fn fail_query_of_dropped_value(&mut self, now: Nanos, part: RequestId) {
         self.counters.memory.dropped_values += 1;
         let Some(query) = self.queries.part_mut(part).map(|part| part.query) else {
--- a/crates/mixer/src/reducer/replicas.rs
+++ b/crates/mixer/src/reducer/replicas.rs
@@ -161,7 +161,7 @@
         let (version, snapshot) = (update.version, update.snapshot);
         let mut unlisted = Vec::new();
         if snapshot && self.is_full(update.entries.len()) {
-            // Their records make room for those of new replicas.
+            // Their records may be evicted for those of new replicas.
             let names = update.entries.iter().map(|entry| &*entry.name);
             let listed = names.filter_map(|name| self.table.slot_by_name(name));
             let listed: HashSet<Slot> = listed.collect();
--- a/crates/mixer/src/transport/client_connection.rs
+++ b/crates/mixer/src/transport/client_connection.rs
@@ -46,7 +46,7 @@
 enum ConnectionEnd {
     /// The client closed the connection.
     ClientClosed,
-    /// The last response was sent: the client asked for that, its request was invalid, or the mixer shuts down.
+    /// The last response was sent: the client requested that, its request was invalid, or the mixer shuts down.
     LastResponse,
     /// The client has not sent the first byte of its first request in time.
     IdleTooLong,
--- a/crates/mixer/src/transport/discovery_watch.rs
+++ b/crates/mixer/src/transport/discovery_watch.rs
@@ -17,9 +17,8 @@
 
 type WatchConnection = Framed<TcpStream, WatchCodec>;
 
-/// Watches the endpoint list in the same way as the driver, but without a reducer:
-/// sends the updates and events as [`Input`]s to `updates`. It requests the changes after version `from_version`, or a
-/// snapshot if that is `None`. Never returns.
+/// Watches the endpoint list as the driver does, but without a reducer: sends the updates and events as [`Input`]s to
+/// `updates`. It requests the changes after version `from_version`, or a snapshot if that is `None`. Never returns.
 pub async fn watch_endpoints(
     updates: mpsc::Sender<Input>,
     policy: WatchPolicy,
--- a/crates/standins/tests/unread_log.rs
+++ b/crates/standins/tests/unread_log.rs
@@ -1,4 +1,4 @@
-//! A mixer whose log nobody reads, with real processes: it serves all the same, and shuts down in time.
+//! A mixer whose log is not read, with real processes: it serves all the same, and shuts down in time.
 
 use cottonhill_standins::client::{consecutive_parts, Attempt, AttemptOutcome, Connection, Query};
 use cottonhill_standins::cluster::{ClusterConfig, LocalCluster, CLASSES, SHARDS, TENANTS};
