Review case 10: a restarted mixer sends to a draining server while discovery is down

Examined: the start of a mixer whose agent is silent, with the list as the mixer last held it.

Seen: after 1 s the cached list is in force, and a server gets work that the agent knew to be draining before the process started.

--- a/review/standins-2/bed2.py
+++ b/review/standins-2/bed2.py
@@ -80,6 +80,8 @@
         self.ip, self.record, self.name = ip, record, name
         self.table = table if table is not None else Table()
         self.answer_delay = 0.0
+        self.down = False
+        self.back = asyncio.Event()
         self.server = None
         self.address = None
         self.writers = set()
@@ -89,6 +91,19 @@
         self.server = await asyncio.start_server(self.serve, self.ip, 0)
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
 
+    def set_down(self, down):
+        """While discovery is down, an agent takes connections and calls and says nothing; then it answers them all."""
+        self.down = down
+        self.record.write(f"{self.name} is {'down: its agent is silent' if down else 'back'}")
+        if down:
+            self.back.clear()
+        else:
+            self.back.set()
+
+    async def while_silent(self):
+        if self.down:
+            await self.back.wait()
+
     async def stop(self):
         """Accepts no new connection and ends the open ones."""
         self.server.close()
@@ -107,6 +122,7 @@
                 self.record.write(f"{self.name} {self.address}: call {target}")
                 if self.answer_delay:
                     await asyncio.sleep(self.answer_delay)
+                await self.while_silent()
                 if "watch=1" not in target:
                     body = json.dumps(self.table.whole()).encode()
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
@@ -144,6 +160,7 @@
             done, waiting = await asyncio.wait({changed, ended}, timeout=2.0, return_when=asyncio.FIRST_COMPLETED)
             for task in waiting:
                 task.cancel()
+            await self.while_silent()
             if ended in done:
                 self.record.write(f"{self.name} {self.address}: the mixer ended its watch")
                 return
@@ -194,7 +211,7 @@
     def __init__(self, ip, record, name, cell, zone, work=0.02):
         self.ip, self.record, self.name, self.cell, self.zone, self.work = ip, record, name, cell, zone, work
         self.answer = None
-        self.hangs = False
+        self.draining = False
         self.parts = []
         self.address = None
         self.writers = set()
@@ -247,9 +264,10 @@
             writer.close()
 
     async def run(self, writer, part, shard, text):
-        await asyncio.sleep(self.work)
-        if self.hangs:
+        if self.draining:
+            self.send(writer, f"A{part} busy - -\n".encode())
             return
+        await asyncio.sleep(self.work)
         value = self.answer(shard, text) if self.answer else value_of(shard, text)
         self.record.write(f"leaf {self.name}: ran {part}")
         self.send(writer, f"A{part} ok 1 -\n{value}".encode())
