--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,99 +1,114 @@
-"""Answers get lost on their way to the clients: are the clients' retries billed with their first try?"""
+"""New configurations in quick succession while discovery is slow: does a drained leaf server still get work?"""
 
 import asyncio
 import os
+import signal
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-2"))
 import bed2
-from bed2 import BROKEN, HELD, CannotRun
-
-QUERIES = 20
-LOST = (3, 8, 13, 18)   # the queries whose first answer is lost: the connection is reset under it
-TIMEOUT_MS = 5000       # the class's give-up time
-TENANT, CLASS, PRICE = "ceylon-sound", "track-lookup", 100
-
-
-class Path:
-    """The network between clients and a mixer. It resets some connections when the first byte of an answer arrives."""
-
-    def __init__(self, bed, target):
-        self.bed, self.target, self.resets = bed, target, set()
-
-    async def start(self):
-        server = await asyncio.start_server(self.serve, self.bed.ip, 0)
-        self.address = "%s:%d" % server.sockets[0].getsockname()[:2]
-
-    async def serve(self, reader, writer):
-        up_reader, up_writer = await bed2.connect(self.target)
-        own = "%s:%d" % writer.get_extra_info("peername")[:2]
-
-        async def copy(source, sink, is_answer):
-            try:
-                while data := await source.read(65536):
-                    if is_answer and own in self.resets:
-                        # The mixer has written this answer; the client sees a reset and none of its bytes.
-                        self.bed.record.write(f"path: answer of {len(data)} bytes lost, connection reset: {data[:15]!r}")
-                        writer.transport.abort()
-                        break
-                    sink.write(data)
-                    await sink.drain()
-            except OSError:
-                pass
-            sink.close()
-
-        await asyncio.gather(copy(reader, up_writer, False), copy(up_reader, writer, True))
-
-
-async def one_query(bed, path, other, number):
-    """A query and, if its connection was reset, its retry at the other mixer. Returns the whole answers that arrived."""
-    shards = bed2.equal_shards([number % 12, (number + 4) % 12, (number + 8) % 12])
-    text, request_id, began = f"clip {number}", bed2.new_id(), time.time()
-    reader, writer = await bed2.connect(path.address)
-    if bed2.TROUBLE and number in LOST:
-        path.resets.add("%s:%d" % writer.get_extra_info("sockname")[:2])
-    bed.record.write(f"client: query {number}, first try {request_id}")
-    writer.write(bed2.query(CLASS, TENANT, request_id, TIMEOUT_MS, shards, text))
-    try:
-        status, _ = await asyncio.wait_for(bed2.read_response(reader), TIMEOUT_MS / 1000)
-        bed.record.write(f"client: query {number}, answer {status}")
-    except (EOFError, OSError) as error:
-        retry_id, left = bed2.new_id(), TIMEOUT_MS - int((time.time() - began) * 1000) - 1
-        bed.record.write(f"client: query {number}, connection lost ({error}); retry {retry_id}, timeout {left} ms")
-        message = bed2.query(CLASS, TENANT, retry_id, left, shards, text, retried=True)
-        status, _ = await bed2.exchange(other, message, left / 1000)
-        bed.record.write(f"client: query {number}, answer {status} to the retry")
-    writer.close()
-    return status == 200
+from bed2 import BROKEN, HELD, MS, CannotRun
+
+GRACE = 2.0         # stop_sending_within_ns of the site
+TOLD_WITHIN = 6.0   # "at the latest 6 s after discovery had it and could be reached"
+SLACK = 0.05        # "each time limit is 50 ms longer"
+CALL_TIME = 2.3     # how long a call to the slow discovery takes
+CONFIGURATIONS = 6
+INTERVAL = 2.0
+
+
+def settings():
+    """The site graz-prices: one data centre, discovery is asked, drains are kept within 2 s."""
+
+    def one_class(name, aim_ms, give_up_ms, semantics, importance):
+        return {"name": name, "aim_ns": aim_ms * MS, "give_up_ns": give_up_ms * MS, "dedup_window_ns": give_up_ms * MS,
+                "group": "all", "importance": importance, "late_value": 0.1, "semantics": semantics, "stream": False}
+
+    changed = bed2.lmla_settings()
+    changed.update({
+        "classes": [one_class("history", 2000, 6000, "read_like", 1.0),
+                    one_class("screening", 2000, 4000, "read_like", 3.0),
+                    one_class("publish", 1500, 5000, "non_idempotent", 2.0)],
+        "discovery": "on_request", "localities": ["graz-dc1"], "stages": ["price-fleet"], "kinds": ["small-2c"],
+        "orgs": [{"name": name, "allowance_per_s": 4.0, "fraction": part} for name, part in
+                 (("alpenbank-linz", 0.49), ("donau-vorsorge", 0.36), ("murtal-invest", 0.15))],
+    })
+    changed["extra"] = {**changed["extra"], "least_share": [1.0, 0.4, 1.0], "reach": 3}
+    changed["guarantees"] = {**changed["guarantees"], "stop_sending_within_ns": int(GRACE * 1000) * MS,
+                             "cold_from": 0.3, "fall_multiple": 2.0, "fall_ns": 1000 * MS, "cold_ns": 16000 * MS}
+    changed["limits"] = {**changed["limits"], "max_attempts": 3, "peers": False}
+    return changed
+
+
+async def traffic(bed, mixer, stop):
+    """About 10 queries a second, each for a few of the partitions."""
+    number, tasks = 0, []
+
+    async def one(number):
+        shards = bed2.equal_shards([(number + step) % 12 for step in (0, 2, 4, 6, 8, 10)])
+        message = bed2.query("history", "alpenbank-linz", bed2.new_id(), 6000, shards, f"q{number}")
+        try:
+            status, _ = await bed2.exchange(mixer, message, 7)
+        except (OSError, EOFError, asyncio.TimeoutError) as error:
+            status = type(error).__name__
+        return status
+
+    while not stop.is_set():
+        tasks.append(asyncio.ensure_future(one(number)))
+        number += 1
+        await asyncio.sleep(0.1)
+    return await asyncio.gather(*tasks)
 
 
 async def case(bed):
-    await bed.start_leaves(12, bed2.ZONES, 0.14)
-    members, mixers = {}, []
-    for name in ("n0", "n1"):
-        usage = bed2.free_addresses(bed.ip, 1)[0]
-        config = bed.config(name, bed2.lmla_settings())
-        await bed.start_mixer(config, bed2.usage_section(bed, name, usage))
-        members[name] = usage
-        mixers.append(config["listen"])
-    path = Path(bed, mixers[0])
-    await path.start()
-    ledger = bed2.Ledger(bed, members, {CLASS: PRICE})
-    ledger.start()
-    end = await ledger.wait_for_period()
-    tasks = []
-    for number in range(QUERIES):
-        tasks.append(asyncio.ensure_future(one_query(bed, path, mixers[1], number)))
-        await asyncio.sleep(0.3)
-    answered = sum(await asyncio.gather(*tasks))
-    if time.time() > end - 1 or answered != QUERIES:
-        raise CannotRun(f"{answered} of {QUERIES} queries were answered, {end - time.time():.1f} s before the period's end")
-    statement = await ledger.statement(end)
-    lines = [line for line in statement["lines"] if line["tenant"] == TENANT and line["class"] == CLASS]
-    uses, amount = sum(line["uses"] for line in lines), sum(line["amount"] for line in lines)
-    bed.record.write(f"the client made {QUERIES} queries at {PRICE} each; billed are {uses} uses and {amount}")
-    return BROKEN if uses > QUERIES or amount > QUERIES * PRICE else HELD
+    await bed.start_leaves(12, ["graz-dc1"], 0.14)
+    services = [bed.discovery]
+    for _ in range(CONFIGURATIONS):
+        services.append(bed2.Discovery(bed.ip, bed.record, bed.discovery.table))
+        await services[-1].start()
+    for service in services:
+        service.answer_delay = CALL_TIME
+    config = bed.config("n0", settings(), peers=[])
+    mixer = await bed.start_mixer(config)
+    stop = asyncio.Event()
+    load = asyncio.ensure_future(traffic(bed, config["listen"], stop))
+    await asyncio.sleep(4.0)
+    drained = bed.leaves[5]
+    before = len(drained.parts)
+    if not before:
+        raise CannotRun("the leaf server got no part before it drained")
+
+    async def reload(number):
+        """The configuration names the next address; the old one ends its connections after 1.5 s."""
+        if bed2.TROUBLE:
+            config["discovery"] = services[number].address
+            bed.write_config(config)
+            mixer.signal(signal.SIGHUP)
+            bed.record.write(f"SIGHUP {number}: discovery is at {services[number].address}")
+            await services[number - 1].stop_listening()
+            asyncio.get_running_loop().call_later(1.5, lambda: asyncio.ensure_future(services[number - 1].stop()))
+
+    await reload(1)
+    await asyncio.sleep(0.1)
+    bed.discovery.table.update(drained.entry("draining"))
+    drained_at = time.time()
+    bed.record.write(f"discovery has it: {drained.name} drains")
+    for number in range(2, CONFIGURATIONS + 1):
+        await asyncio.sleep(INTERVAL)
+        await reload(number)
+    await asyncio.sleep(CALL_TIME)
+    stop.set()
+    answers = await load
+    bound = drained_at + TOLD_WITHIN + GRACE + SLACK
+    late = [part for part in drained.parts if part[0] > bound]
+    after = [part for part in drained.parts if part[0] > drained_at]
+    bed.record.write(f"answers by status: { {status: answers.count(status) for status in sorted(set(map(str, answers)))} }")
+    bed.record.write(f"parts to {drained.name}: {before} before it drained, {len(after)} after, {len(late)} after the bound")
+    if late:
+        bed.record.write(f"last part {late[-1][1]} came {late[-1][0] - drained_at:.3f} s after discovery had the drain")
+    bed.record.write(f"exit code of the mixer: {mixer.exited()}")
+    return BROKEN if late else HELD
 
 
 bed2.run_case(__file__, case)
