--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,4 +7,4 @@
 for path in sys.argv[1:]:
     with open(path, encoding="utf-8") as file:
         ast.parse(file.read(), path)
-' standins-2/*.py [6-9]/case.py
+' standins-2/*.py [6-9]/case.py 10/case.py
--- a/review/standins-2/bed2.py
+++ b/review/standins-2/bed2.py
@@ -80,30 +80,14 @@
         self.ip, self.record, self.name = ip, record, name
         self.table = table if table is not None else Table()
         self.answer_delay = 0.0
-        self.down = False
-        self.back = asyncio.Event()
         self.server = None
         self.address = None
         self.writers = set()
-        self.on_written = None
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.ip, 0)
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
 
-    def set_down(self, down):
-        """While discovery is down, an agent takes connections and calls and says nothing; then it answers them all."""
-        self.down = down
-        self.record.write(f"{self.name} is {'down: its agent is silent' if down else 'back'}")
-        if down:
-            self.back.clear()
-        else:
-            self.back.set()
-
-    async def while_silent(self):
-        if self.down:
-            await self.back.wait()
-
     async def stop(self):
         """Accepts no new connection and ends the open ones."""
         self.server.close()
@@ -122,7 +106,6 @@
                 self.record.write(f"{self.name} {self.address}: call {target}")
                 if self.answer_delay:
                     await asyncio.sleep(self.answer_delay)
-                await self.while_silent()
                 if "watch=1" not in target:
                     body = json.dumps(self.table.whole()).encode()
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
@@ -140,8 +123,6 @@
 
     def written(self, index):
         self.record.write(f"{self.name} {self.address}: told version {index}")
-        if self.on_written:
-            self.on_written(index)
 
     async def watch(self, reader, writer, known):
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -160,7 +141,6 @@
             done, waiting = await asyncio.wait({changed, ended}, timeout=2.0, return_when=asyncio.FIRST_COMPLETED)
             for task in waiting:
                 task.cancel()
-            await self.while_silent()
             if ended in done:
                 self.record.write(f"{self.name} {self.address}: the mixer ended its watch")
                 return
@@ -211,7 +191,6 @@
     def __init__(self, ip, record, name, cell, zone, work=0.02):
         self.ip, self.record, self.name, self.cell, self.zone, self.work = ip, record, name, cell, zone, work
         self.answer = None
-        self.draining = False
         self.parts = []
         self.address = None
         self.writers = set()
@@ -264,9 +243,6 @@
             writer.close()
 
     async def run(self, writer, part, shard, text):
-        if self.draining:
-            self.send(writer, f"A{part} busy - -\n".encode())
-            return
         await asyncio.sleep(self.work)
         value = self.answer(shard, text) if self.answer else value_of(shard, text)
         self.record.write(f"leaf {self.name}: ran {part}")
@@ -472,11 +448,11 @@
 class Ledger:
     """The settlement: `cottonhill ledger serve`, with short billing periods, and what it bills."""
 
-    def __init__(self, bed, members, prices):
-        self.bed = bed
+    def __init__(self, bed, members, prices, grace=20):
+        self.bed, self.grace = bed, grace
         self.path = os.path.join(bed.directory, "ledger.ini")
         text = f"[settlement]\nstore = {os.path.join(bed.directory, 'ledger.sqlite')}\n\n"
-        text += f"[periods]\nevery = {PERIOD_S}s\nhorizon = {HORIZON_S}s\nskew = 200ms\ngrace = 20s\n\n"
+        text += f"[periods]\nevery = {PERIOD_S}s\nhorizon = {HORIZON_S}s\nskew = 200ms\ngrace = {grace}s\n\n"
         text += "".join(f"[member {name}]\naddress = {address}\n\n" for name, address in members.items())
         text += "".join(f"[price {name}]\nwhole = {price}\n\n" for name, price in prices.items())
         with open(self.path, "w", encoding="utf-8") as file:
@@ -509,7 +485,7 @@
 
     async def statement(self, end):
         """The statement of the period that ended then, once it is closed."""
-        while time.time() < end + HORIZON_S + 20:
+        while time.time() < end + HORIZON_S + self.grace + 8:
             await asyncio.sleep(0.5)
             if time.time() < end + HORIZON_S:
                 continue
