Review case 7: a silent crowd at the search front leaves the query front no descriptor

Examined: the entries of docs/ROADMAP.md on descriptors, with 150 silent connections at the search front, 128 descriptors, and the usual clients at the query front.

The cases after it move by one (8 duplicate, 9 drain, 10 usage log).

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,114 +1,86 @@
-"""New configurations in quick succession while discovery is slow: does a drained leaf server still get work?"""
+"""Searches whose parts may not run twice: leaf servers reset connections under parts that have run. What is the client told?"""
 
 import asyncio
+import json
 import os
-import signal
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-2"))
 import bed2
-from bed2 import BROKEN, HELD, MS, CannotRun
-
-GRACE = 2.0         # stop_sending_within_ns of the site
-TOLD_WITHIN = 6.0   # "at the latest 6 s after discovery had it and could be reached"
-SLACK = 0.05        # "each time limit is 50 ms longer"
-CALL_TIME = 2.3     # how long a call to the slow discovery takes
-CONFIGURATIONS = 6
-INTERVAL = 2.0
-
-
-def settings():
-    """The site graz-prices: one data centre, discovery is asked, drains are kept within 2 s."""
-
-    def one_class(name, aim_ms, give_up_ms, semantics, importance):
-        return {"name": name, "aim_ns": aim_ms * MS, "give_up_ns": give_up_ms * MS, "dedup_window_ns": give_up_ms * MS,
-                "group": "all", "importance": importance, "late_value": 0.1, "semantics": semantics, "stream": False}
-
-    changed = bed2.lmla_settings()
-    changed.update({
-        "classes": [one_class("history", 2000, 6000, "read_like", 1.0),
-                    one_class("screening", 2000, 4000, "read_like", 3.0),
-                    one_class("publish", 1500, 5000, "non_idempotent", 2.0)],
-        "discovery": "on_request", "localities": ["graz-dc1"], "stages": ["price-fleet"], "kinds": ["small-2c"],
-        "orgs": [{"name": name, "allowance_per_s": 4.0, "fraction": part} for name, part in
-                 (("alpenbank-linz", 0.49), ("donau-vorsorge", 0.36), ("murtal-invest", 0.15))],
-    })
-    changed["extra"] = {**changed["extra"], "least_share": [1.0, 0.4, 1.0], "reach": 3}
-    changed["guarantees"] = {**changed["guarantees"], "stop_sending_within_ns": int(GRACE * 1000) * MS,
-                             "cold_from": 0.3, "fall_multiple": 2.0, "fall_ns": 1000 * MS, "cold_ns": 16000 * MS}
-    changed["limits"] = {**changed["limits"], "max_attempts": 3, "peers": False}
-    return changed
-
-
-async def traffic(bed, mixer, stop):
-    """About 10 queries a second, each for a few of the partitions."""
-    number, tasks = 0, []
-
-    async def one(number):
-        shards = bed2.equal_shards([(number + step) % 12 for step in (0, 2, 4, 6, 8, 10)])
-        message = bed2.query("history", "alpenbank-linz", bed2.new_id(), 6000, shards, f"q{number}")
-        try:
-            status, _ = await bed2.exchange(mixer, message, 7)
-        except (OSError, EOFError, asyncio.TimeoutError) as error:
-            status = type(error).__name__
-        return status
-
-    while not stop.is_set():
-        tasks.append(asyncio.ensure_future(one(number)))
-        number += 1
-        await asyncio.sleep(0.1)
-    return await asyncio.gather(*tasks)
+from bed2 import BROKEN, HELD, CannotRun
+
+SEARCHES = 24
+RESET = (4, 10, 16, 22)   # the searches under which one connection to a leaf server is reset
+TENANT, CLASS = "ceylon-sound", "track-lookup"
+
+
+def found(shard, text):
+    """The answer of a sound leaf server to a search: one document of the shard."""
+    return json.dumps({"hits": {"total": {"value": 1, "relation": "eq"},
+                                "hits": [{"_id": f"clip-{shard}", "_score": 1.0, "_source": {"shard": shard}}]}})
+
+
+class Leaf(bed2.Leaf):
+    """Runs a part and then resets its connection instead of answering, once for each text in `resets`."""
+
+    resets, ran = set(), []
+
+    async def run(self, writer, part, shard, text):
+        await asyncio.sleep(self.work)
+        Leaf.ran.append((text, shard))
+        self.record.write(f"leaf {self.name}: ran {part} of {text}")
+        if text in Leaf.resets:
+            Leaf.resets.discard(text)
+            self.record.write(f"leaf {self.name}: connection reset under {part}, which has run")
+            writer.transport.abort()
+            return
+        self.send(writer, f"A{part} ok 1 -\n{found(shard, text)}".encode())
+
+
+def text_of(number):
+    return json.dumps({"query": {"match": {"title": {"query": f"clip {number}"}}}, "size": 10}, separators=(",", ":"))
+
+
+async def one_search(bed, front, number):
+    """A search. The client repeats it only if it was refused: "trying again is harmless". Returns its statuses."""
+    body = json.dumps({"query": {"match": {"title": f"clip {number}"}}}).encode()
+    statuses = []
+    for attempt in range(3):
+        headers = ["Content-Type: application/json", f"X-Tenant-Id: {TENANT}"] + ["X-Retried: 1"] * (attempt > 0)
+        status, answer = await bed2.exchange(front, bed2.request("POST", "/clips/_search", body, headers), 6)
+        bed.record.write(f"client: search {number}, try {attempt + 1}: {status} {answer[:120]!r}")
+        statuses.append(status)
+        if status not in (429, 503):
+            break
+        await asyncio.sleep(0.3)
+    return statuses
 
 
 async def case(bed):
-    await bed.start_leaves(12, ["graz-dc1"], 0.14)
-    services = [bed.discovery]
-    for _ in range(CONFIGURATIONS):
-        services.append(bed2.Discovery(bed.ip, bed.record, bed.discovery.table))
-        await services[-1].start()
-    for service in services:
-        service.answer_delay = CALL_TIME
-    config = bed.config("n0", settings(), peers=[])
-    mixer = await bed.start_mixer(config)
-    stop = asyncio.Event()
-    load = asyncio.ensure_future(traffic(bed, config["listen"], stop))
-    await asyncio.sleep(4.0)
-    drained = bed.leaves[5]
-    before = len(drained.parts)
-    if not before:
-        raise CannotRun("the leaf server got no part before it drained")
-
-    async def reload(number):
-        """The configuration names the next address; the old one ends its connections after 1.5 s."""
-        if bed2.TROUBLE:
-            config["discovery"] = services[number].address
-            bed.write_config(config)
-            mixer.signal(signal.SIGHUP)
-            bed.record.write(f"SIGHUP {number}: discovery is at {services[number].address}")
-            await services[number - 1].stop_listening()
-            asyncio.get_running_loop().call_later(1.5, lambda: asyncio.ensure_future(services[number - 1].stop()))
-
-    await reload(1)
-    await asyncio.sleep(0.1)
-    bed.discovery.table.update(drained.entry("draining"))
-    drained_at = time.time()
-    bed.record.write(f"discovery has it: {drained.name} drains")
-    for number in range(2, CONFIGURATIONS + 1):
-        await asyncio.sleep(INTERVAL)
-        await reload(number)
-    await asyncio.sleep(CALL_TIME)
-    stop.set()
-    answers = await load
-    bound = drained_at + TOLD_WITHIN + GRACE + SLACK
-    late = [part for part in drained.parts if part[0] > bound]
-    after = [part for part in drained.parts if part[0] > drained_at]
-    bed.record.write(f"answers by status: { {status: answers.count(status) for status in sorted(set(map(str, answers)))} }")
-    bed.record.write(f"parts to {drained.name}: {before} before it drained, {len(after)} after, {len(late)} after the bound")
-    if late:
-        bed.record.write(f"last part {late[-1][1]} came {late[-1][0] - drained_at:.3f} s after discovery had the drain")
-    bed.record.write(f"exit code of the mixer: {mixer.exited()}")
-    return BROKEN if late else HELD
+    bed2.Leaf = Leaf
+    await bed.start_leaves(12, bed2.ZONES, 0.1)
+    settings = bed2.lmla_settings()
+    for one in settings["classes"]:
+        if one["name"] == CLASS:
+            one["semantics"] = "non_idempotent"
+    front = bed2.free_addresses(bed.ip, 1)[0]
+    config = bed.config("n0", settings)
+    ini = f"[opensearch]\nlisten = {front}\n\n[index clips]\nclass = {CLASS}\nshards = 0-3\n"
+    await bed.start_mixer(config, ini)
+    results = []
+    for number in range(SEARCHES):
+        if bed2.TROUBLE and number in RESET:
+            Leaf.resets.add(text_of(number))
+        results.append(await one_search(bed, front, number))
+        await asyncio.sleep(0.1)
+    if bed2.TROUBLE and len(Leaf.resets) == len(RESET):
+        raise CannotRun("no connection was reset: no search came through, or its text is another one at the leaf servers")
+    twice = sorted({part for part in Leaf.ran if Leaf.ran.count(part) > 1})
+    for text, shard in twice:
+        bed.record.write(f"the part of shard {shard} of {text} ran {Leaf.ran.count((text, shard))} times")
+    bed.record.write(f"statuses: {results}; parts that ran more than once: {len(twice)}")
+    return BROKEN if twice else HELD
 
 
 bed2.run_case(__file__, case)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""The settlement is away until a mixer's usage log is full: is usage recorded again once the settlement is back?"""
+"""New configurations in quick succession while discovery is slow: does a drained leaf server still get work?"""
 
 import asyncio
 import os
@@ -8,68 +8,107 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-2"))
 import bed2
-from bed2 import BROKEN, HELD, CannotRun
+from bed2 import BROKEN, HELD, MS, CannotRun
 
-OUTAGE = 22.0       # a lost data centre: "for 10 to 23 s"
-RATE = 60           # queries a second; "up to 130 queries a second" come to a mixer
-RECOVERY = 5.0      # the time after the settlement's return that is not judged
-TENANT, CLASS, PRICE = "ceylon-sound", "track-lookup", 100
+GRACE = 2.0         # stop_sending_within_ns of the site
+TOLD_WITHIN = 6.0   # "at the latest 6 s after discovery had it and could be reached"
+SLACK = 0.05        # "each time limit is 50 ms longer"
+CALL_TIME = 2.3     # how long a call to the slow discovery takes
+CONFIGURATIONS = 6
+INTERVAL = 2.0
 
 
-async def traffic(bed, mixer, stop, answered):
-    """RATE queries a second on eight connections, each with a text of its own. Notes when each was answered 200."""
-    numbers = iter(range(10 ** 9))
+def settings():
+    """The site graz-prices: one data centre, discovery is asked, drains are kept within 2 s."""
 
-    async def client():
-        reader, writer = await bed2.connect(mixer)
-        while not stop.is_set():
-            began, number = time.time(), next(numbers)
-            shards = bed2.equal_shards([number % 12, (number + 4) % 12, (number + 8) % 12])
-            writer.write(bed2.query(CLASS, TENANT, bed2.new_id(), 5000, shards, f"clip {number}"))
-            status, _ = await asyncio.wait_for(bed2.read_response(reader), 6)
-            if status == 200:
-                answered.append(time.time())
-            await asyncio.sleep(max(0.0, began + 8 / RATE - time.time()))
-        writer.close()
+    def one_class(name, aim_ms, give_up_ms, semantics, importance):
+        return {"name": name, "aim_ns": aim_ms * MS, "give_up_ns": give_up_ms * MS, "dedup_window_ns": give_up_ms * MS,
+                "group": "all", "importance": importance, "late_value": 0.1, "semantics": semantics, "stream": False}
 
-    await asyncio.gather(*[client() for _ in range(8)])
+    changed = bed2.lmla_settings()
+    changed.update({
+        "classes": [one_class("history", 2000, 6000, "read_like", 1.0),
+                    one_class("screening", 2000, 4000, "read_like", 3.0),
+                    one_class("publish", 1500, 5000, "non_idempotent", 2.0)],
+        "discovery": "on_request", "localities": ["graz-dc1"], "stages": ["price-fleet"], "kinds": ["small-2c"],
+        "orgs": [{"name": name, "allowance_per_s": 4.0, "fraction": part} for name, part in
+                 (("alpenbank-linz", 0.49), ("donau-vorsorge", 0.36), ("murtal-invest", 0.15))],
+    })
+    changed["extra"] = {**changed["extra"], "least_share": [1.0, 0.4, 1.0], "reach": 3}
+    changed["guarantees"] = {**changed["guarantees"], "stop_sending_within_ns": int(GRACE * 1000) * MS,
+                             "cold_from": 0.3, "fall_multiple": 2.0, "fall_ns": 1000 * MS, "cold_ns": 16000 * MS}
+    changed["limits"] = {**changed["limits"], "max_attempts": 3, "peers": False}
+    return changed
+
+
+async def traffic(bed, mixer, stop):
+    """About 10 queries a second, each for a few of the partitions."""
+    number, tasks = 0, []
+
+    async def one(number):
+        shards = bed2.equal_shards([(number + step) % 12 for step in (0, 2, 4, 6, 8, 10)])
+        message = bed2.query("history", "alpenbank-linz", bed2.new_id(), 6000, shards, f"q{number}")
+        try:
+            status, _ = await bed2.exchange(mixer, message, 7)
+        except (OSError, EOFError, asyncio.TimeoutError) as error:
+            status = type(error).__name__
+        return status
+
+    while not stop.is_set():
+        tasks.append(asyncio.ensure_future(one(number)))
+        number += 1
+        await asyncio.sleep(0.1)
+    return await asyncio.gather(*tasks)
 
 
 async def case(bed):
-    await bed.start_leaves(12, bed2.ZONES, 0.02)
-    usage = bed2.free_addresses(bed.ip, 1)[0]
-    config = bed.config("n0", bed2.lmla_settings())
-    ini = bed2.usage_section(bed, "n0", usage) + "segment = 16KiB\nkeep = 64KiB\n"
-    await bed.start_mixer(config, ini)
-    ledger = bed2.Ledger(bed, {"n0": usage}, {CLASS: PRICE}, grace=5)
-    settlement = ledger.start()
-    await ledger.wait_for_period()
-    stop, answered = asyncio.Event(), []
-    load = asyncio.ensure_future(traffic(bed, config["listen"], stop, answered))
-    await asyncio.sleep(3.0)
-    if bed2.TROUBLE:
-        settlement.signal(signal.SIGKILL)
-        bed.record.write("the settlement is killed")
-    await asyncio.sleep(OUTAGE)
-    if bed2.TROUBLE:
-        ledger.start()
-        bed.record.write("the settlement is started again")
-    # The first whole billing period from RECOVERY after the settlement's return on.
-    start = ((time.time() + RECOVERY) // bed2.PERIOD_S + 1) * bed2.PERIOD_S
-    end = start + bed2.PERIOD_S
-    await asyncio.sleep(end + 1.0 - time.time())
+    await bed.start_leaves(12, ["graz-dc1"], 0.14)
+    services = [bed.discovery]
+    for _ in range(CONFIGURATIONS):
+        services.append(bed2.Discovery(bed.ip, bed.record, bed.discovery.table))
+        await services[-1].start()
+    for service in services:
+        service.answer_delay = CALL_TIME
+    config = bed.config("n0", settings(), peers=[])
+    mixer = await bed.start_mixer(config)
+    stop = asyncio.Event()
+    load = asyncio.ensure_future(traffic(bed, config["listen"], stop))
+    await asyncio.sleep(4.0)
+    drained = bed.leaves[5]
+    before = len(drained.parts)
+    if not before:
+        raise CannotRun("the leaf server got no part before it drained")
+
+    async def reload(number):
+        """The configuration names the next address; the old one ends its connections after 1.5 s."""
+        if bed2.TROUBLE:
+            config["discovery"] = services[number].address
+            bed.write_config(config)
+            mixer.signal(signal.SIGHUP)
+            bed.record.write(f"SIGHUP {number}: discovery is at {services[number].address}")
+            await services[number - 1].stop_listening()
+            asyncio.get_running_loop().call_later(1.5, lambda: asyncio.ensure_future(services[number - 1].stop()))
+
+    await reload(1)
+    await asyncio.sleep(0.1)
+    bed.discovery.table.update(drained.entry("draining"))
+    drained_at = time.time()
+    bed.record.write(f"discovery has it: {drained.name} drains")
+    for number in range(2, CONFIGURATIONS + 1):
+        await asyncio.sleep(INTERVAL)
+        await reload(number)
+    await asyncio.sleep(CALL_TIME)
     stop.set()
-    await load
-    # Queries within 0.1 s of a boundary may count in either period.
-    made = len([at for at in answered if start + 0.1 <= at <= end - 0.1])
-    bed.record.write(f"answered with 200 in all {len(answered)}, within the judged period {made}")
-    statement = await ledger.statement(end)
-    lines = [line for line in statement["lines"] if line["period"] == statement["period"]]
-    uses = sum(line["whole"] for line in lines if line["tenant"] == TENANT and line["class"] == CLASS)
-    status = await ledger.call("status")
-    bed.record.write(f"ledger status: {' '.join(status.split())}")
-    bed.record.write(f"the period's statement has {uses} answered uses of at least {made}")
-    return BROKEN if uses < made else HELD
+    answers = await load
+    bound = drained_at + TOLD_WITHIN + GRACE + SLACK
+    late = [part for part in drained.parts if part[0] > bound]
+    after = [part for part in drained.parts if part[0] > drained_at]
+    bed.record.write(f"answers by status: { {status: answers.count(status) for status in sorted(set(map(str, answers)))} }")
+    bed.record.write(f"parts to {drained.name}: {before} before it drained, {len(after)} after, {len(late)} after the bound")
+    if late:
+        bed.record.write(f"last part {late[-1][1]} came {late[-1][0] - drained_at:.3f} s after discovery had the drain")
+    bed.record.write(f"exit code of the mixer: {mixer.exited()}")
+    return BROKEN if late else HELD
 
 
 bed2.run_case(__file__, case)
--- a/review/standins-2/bed2.py
+++ b/review/standins-2/bed2.py
@@ -328,8 +328,8 @@
             json.dump(config, file)
         os.replace(path + ".new", path)
 
-    async def start_mixer(self, config, ini=None):
-        """Starts a mixer with the `run` of the deploy file and waits until it is ready."""
+    async def start_mixer(self, config, ini=None, prefix=""):
+        """Starts a mixer with the `run` of the deploy file, after `prefix` in the same shell, and waits until it is ready."""
         name = config["name"]
         temporary = os.path.join(self.directory, f"{name}.tmp")
         os.makedirs(temporary, exist_ok=True)
@@ -341,7 +341,7 @@
             with open(path, "w", encoding="utf-8") as file:
                 file.write(ini)
             environment["COTTONHILL_SETTINGS"] = path
-        program = Program(deploy_command("run"), environment, os.path.join(self.directory, f"{name}.log"))
+        program = Program(prefix + deploy_command("run"), environment, os.path.join(self.directory, f"{name}.log"))
         self.programs.append(program)
         self.record.write(f"mixer {name} started, pid {program.process.pid}")
         for _ in range(300):
