Search front: answer every request that has begun before its connection is closed

Callers of the search front saw their connection reset when a shutdown or another client's connection came while they were writing.

Change: the table tells Opened from Receiving. Connections with a begun request are closed for others after idle ones, and get 429 before; a head that is not whole in time gets 408, as a body did. While draining, idle connections are due at once and begun requests are received; responses carry Connection: close unless a request has begun behind them.

--- a/crates/opensearch/src/front/connections.rs
+++ b/crates/opensearch/src/front/connections.rs
@@ -6,14 +6,17 @@
 use tokio::time::Instant;
 
 /// A request must be complete within this time of its first byte; the first request of a connection, within this time
-/// of the connection being accepted.
+/// of the connection being accepted. A request that is not gets an error.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 /// A response must be written within this time, or its connection is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 /// While requests are refused, a response must be written within this time.
 const WRITE_TIMEOUT_AT_LIMIT: Duration = Duration::from_millis(250);
-/// How long a new connection may take to send its first request before it is closed in preference to others.
-const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
+/// How long a new connection that is being closed is read, in case its first request is in the socket already.
+const FIRST_BYTE_WAIT: Duration = Duration::from_millis(10);
+/// How long a new connection may take to send its first request, and any request to arrive completely, before the
+/// connection is closed in preference to others.
+const REQUEST_GRACE: Duration = Duration::from_millis(250);
 /// Connections beyond the connection limit. Admitted requests never hold them, so that while all others are in use a new
 /// client can still connect and be refused.
 const REFUSAL_CONNECTIONS: usize = 16;
@@ -24,9 +27,11 @@
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Activity {
+    /// No byte of the first request has arrived since the connection was accepted.
+    Opened { since: Instant },
     /// No byte of the next request has arrived.
     Idle { since: Instant },
-    /// A request has begun to arrive, or the first one is due.
+    /// A part of a request has arrived. The first request of a connection counts from when that was accepted.
     Receiving { since: Instant },
     /// A complete request is being served or refused.
     Serving,
@@ -45,20 +50,21 @@
 /// The order in which connections are closed for new ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum ClosePriority {
-    /// It has not sent a request within [`FIRST_REQUEST_GRACE`], or its request was refused and the client does not read
-    /// the response, which would else have been written at once.
+    /// It has not sent a byte within [`REQUEST_GRACE`], or its request was refused and the client does not read the
+    /// response, which would else have been written at once.
     Unused,
     /// It has been served before.
     BetweenRequests,
-    /// Its first request may be on the way. Closed only if all refusal connections are in use, too.
+    /// Its request has not arrived completely within [`REQUEST_GRACE`]. It is refused before the connection is closed.
+    Incomplete,
+    /// Its first request, or the rest of a request, may be on the way. Closed only if all refusal connections are in use,
+    /// too.
     New,
 }
 
 #[derive(Debug)]
 struct Connection {
     activity: Activity,
-    /// Whether it has sent a complete request.
-    has_sent_request: bool,
     /// Whether its open request counts towards the connection limit.
     is_admitted: bool,
     /// Whether bytes have arrived after a complete request, before the response to it was written.
@@ -72,21 +78,24 @@
     fn is_unread(&self, now: Instant) -> bool {
         match self.activity {
             Activity::Responding { since } => now.duration_since(since) >= WRITE_TIMEOUT_AT_LIMIT,
-            Activity::Idle { .. } | Activity::Receiving { .. } | Activity::Serving => false,
+            Activity::Opened { .. }
+            | Activity::Idle { .. }
+            | Activity::Receiving { .. }
+            | Activity::Serving => false,
         }
     }
 
     /// The priority for closing and the time of its last activity; `None` while its admitted request is open.
     fn close_priority(&self, now: Instant) -> Option<(ClosePriority, Instant)> {
         match self.activity {
-            Activity::Idle { since } => Some((ClosePriority::BetweenRequests, since)),
-            Activity::Receiving { since } if self.has_sent_request => {
-                Some((ClosePriority::BetweenRequests, since))
-            }
-            Activity::Receiving { since } if now.duration_since(since) < FIRST_REQUEST_GRACE => {
+            Activity::Opened { since } | Activity::Receiving { since }
+                if now.duration_since(since) < REQUEST_GRACE =>
+            {
                 Some((ClosePriority::New, since))
             }
-            Activity::Receiving { since } => Some((ClosePriority::Unused, since)),
+            Activity::Opened { since } => Some((ClosePriority::Unused, since)),
+            Activity::Idle { since } => Some((ClosePriority::BetweenRequests, since)),
+            Activity::Receiving { since } => Some((ClosePriority::Incomplete, since)),
             Activity::Responding { since } if !self.is_admitted => {
                 Some((ClosePriority::Unused, since))
             }
@@ -102,6 +111,8 @@
     idle_timeout: Duration,
     connections: BTreeMap<ConnectionId, Connection>,
     last_id: ConnectionId,
+    /// Whether each connection is closed as soon as no request is open on it.
+    is_draining: bool,
 }
 
 impl ConnectionTable {
@@ -113,6 +124,7 @@
             idle_timeout,
             connections: BTreeMap::new(),
             last_id: 0,
+            is_draining: false,
         }
     }
 
@@ -131,12 +143,16 @@
         self.len() > self.max_connections + REFUSAL_CONNECTIONS
     }
 
+    /// From now on, closes each connection as soon as no request is open on it.
+    pub fn start_draining(&mut self) {
+        self.is_draining = true;
+    }
+
     /// Adds a connection that was accepted.
     pub fn open(&mut self, now: Instant) -> ConnectionId {
         self.last_id += 1;
         let connection = Connection {
-            activity: Activity::Receiving { since: now },
-            has_sent_request: false,
+            activity: Activity::Opened { since: now },
             is_admitted: false,
             has_bytes_ahead: false,
             is_closing: false,
@@ -157,6 +173,7 @@
         };
         match connection.activity {
             Activity::Idle { .. } => connection.activity = Activity::Receiving { since: now },
+            Activity::Opened { since } => connection.activity = Activity::Receiving { since },
             Activity::Receiving { .. } => {}
             Activity::Serving | Activity::Responding { .. } => connection.has_bytes_ahead = true,
         }
@@ -170,7 +187,6 @@
             return Admission::Refused;
         };
         connection.activity = Activity::Serving;
-        connection.has_sent_request = true;
         connection.is_admitted |= has_free_place;
         if connection.is_admitted {
             Admission::Admitted
@@ -212,21 +228,35 @@
     /// When the connection has to be closed unless its activity changes. `None` while a request is being served, since
     /// the query's deadline limits that.
     pub fn deadline(&self, id: ConnectionId) -> Option<Instant> {
-        match self.connections.get(&id)?.activity {
+        let connection = self.connections.get(&id)?;
+        let is_closing = self.is_draining || connection.is_closing;
+        match connection.activity {
+            Activity::Opened { since } if is_closing => Some(since + FIRST_BYTE_WAIT),
+            Activity::Idle { since } if is_closing => Some(since),
             Activity::Idle { since } => Some(since + self.idle_timeout),
-            Activity::Receiving { since } => Some(since + REQUEST_TIMEOUT),
+            Activity::Opened { since } | Activity::Receiving { since } => {
+                Some(since + REQUEST_TIMEOUT)
+            }
             Activity::Serving => None,
             Activity::Responding { since } => Some(since + WRITE_TIMEOUT),
         }
     }
 
-    /// Whether the connection waits for the rest of a request, or for its first one.
+    /// Whether a part of a request has arrived on the connection.
     pub fn is_receiving(&self, id: ConnectionId) -> bool {
         self.connections
             .get(&id)
             .is_some_and(|connection| matches!(connection.activity, Activity::Receiving { .. }))
     }
 
+    /// Whether the response to the open request is the last one: the connection is being closed, and no byte has arrived
+    /// behind the request.
+    pub fn closes_after_response(&self, id: ConnectionId) -> bool {
+        self.connections.get(&id).is_some_and(|connection| {
+            (self.is_draining || connection.is_closing) && !connection.has_bytes_ahead
+        })
+    }
+
     /// Whether an admitted request is open on the connection, so that it may be closed for another one only after the
     /// response. False if the client has not read the response in time.
     pub fn has_admitted_request(&self, id: ConnectionId, now: Instant) -> bool {
@@ -249,9 +279,9 @@
     }
 
     /// Selects the connections to close: as many as exceed the connection limit, of those without an admitted request
-    /// other than `newest`: first those that have not sent a request in time, then those between requests, each the
-    /// longest without activity first, and new ones only if the refusal connections are in use. Each is
-    /// selected once.
+    /// other than `newest`: first those that have sent nothing in time, then those between requests, then those of which
+    /// a part of a request has arrived, each the longest without activity first, and new ones only if the refusal
+    /// connections are in use. Each is selected once.
     pub fn select_for_closing(
         &mut self,
         now: Instant,
--- a/crates/opensearch/src/front/mod.rs
+++ b/crates/opensearch/src/front/mod.rs
@@ -5,6 +5,7 @@
 mod listener;
 mod multi;
 mod parameters;
+mod refusal;
 mod request;
 mod request_memory;
 mod response_body;
--- a/crates/opensearch/src/front/request.rs
+++ b/crates/opensearch/src/front/request.rs
@@ -2,6 +2,7 @@
 
 use super::connection::Peer;
 use super::connections::Admission;
+use super::refusal::RETRY_DELAY;
 use super::request_memory::RequestMemory;
 use super::route::route;
 use super::tracked_connection::TrackedConnection;
@@ -20,12 +21,8 @@
 use hyper::{Method, Request, Response, StatusCode};
 use std::net::IpAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 
-/// The delay after which a client may retry a request that exceeds the connection limit.
-const REFUSED_RETRY_DELAY: Duration = Duration::from_secs(1);
-
 /// The client of a request: its headers, its address and the common name of its certificate.
 #[derive(Clone)]
 pub(super) struct Client {
@@ -75,9 +72,16 @@
     let opaque_id = parts.headers.get("x-opaque-id").cloned();
     let has_memory = memory.reserve_body(&body.size_hint(), context.front.max_body_bytes);
     let body = if has_memory {
-        read_body(context, &parts, body, connection.deadline()).await
+        connection.set_reading_body(true);
+        let body = tokio::select! {
+            biased;
+            body = read_body(context, &parts, body, connection.deadline()) => body,
+            refusal = connection.body_refused() => Err(refusal.response()),
+        };
+        connection.set_reading_body(false);
+        body
     } else {
-        Err(response::rejected(Some(REFUSED_RETRY_DELAY)))
+        Err(response::rejected(Some(RETRY_DELAY)))
     };
     let mut response = match body {
         Err(error) => write_response(error, head),
@@ -87,6 +91,9 @@
     if let Some(opaque_id) = opaque_id {
         response.headers_mut().insert("x-opaque-id", opaque_id);
     }
+    if connection.closes_after_response() {
+        close_after(&mut response);
+    }
     response_check.responded = true;
     response
 }
@@ -148,13 +155,17 @@
 
 /// Refuses a request that exceeds the connection limit, and closes its connection.
 fn refuse(head: bool) -> Response<Full<Bytes>> {
-    let mut response = write_response(response::rejected(Some(REFUSED_RETRY_DELAY)), head);
-    response
-        .headers_mut()
-        .insert(CONNECTION, HeaderValue::from_static("close"));
+    let mut response = write_response(response::rejected(Some(RETRY_DELAY)), head);
+    close_after(&mut response);
     response
 }
 
+/// Has hyper close the connection after the response.
+fn close_after(response: &mut Response<Full<Bytes>>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+}
+
 /// Reads the complete body, which has to arrive by `deadline`, and decompresses it.
 async fn read_body(
     context: &Context,
--- a/crates/opensearch/src/front/tracked_connection.rs
+++ b/crates/opensearch/src/front/tracked_connection.rs
@@ -1,6 +1,7 @@
 //! The handle of one open connection, through which its tasks report its activity to the [`ConnectionTable`].
 
 use super::connections::{Admission, ConnectionId, ConnectionTable};
+use super::refusal::Refusal;
 use super::request_memory::RequestMemory;
 use std::cell::{Cell, RefCell, RefMut};
 use std::collections::HashMap;
@@ -51,6 +52,9 @@
             connections: self.clone(),
             close_request,
             unwritten: RefCell::default(),
+            is_reading_body: Cell::default(),
+            body_refusal: Cell::default(),
+            body_refused: Notify::new(),
         })
     }
 
@@ -117,6 +121,11 @@
     close_request: Rc<Notify>,
     /// The memory of the responses that are not written completely.
     unwritten: RefCell<Vec<Rc<RequestMemory>>>,
+    /// Whether the head of a request has arrived, and its body is being read.
+    is_reading_body: Cell<bool>,
+    /// Why that request is refused.
+    body_refusal: Cell<Option<Refusal>>,
+    body_refused: Notify,
 }
 
 impl Drop for TrackedConnection {
@@ -166,11 +175,46 @@
         self.table().deadline(self.id)
     }
 
-    /// Whether the connection waits for the rest of a request, or for its first one.
+    /// Whether a part of a request has arrived.
     pub(super) fn is_receiving(&self) -> bool {
         self.table().is_receiving(self.id)
     }
 
+    /// Whether the response to the open request is the last one.
+    pub(super) fn closes_after_response(&self) -> bool {
+        self.table().closes_after_response(self.id)
+    }
+
+    /// From now on, closes each connection, not only this one, as soon as no request is open on it.
+    pub(super) fn start_draining(&self) {
+        self.table().start_draining();
+    }
+
+    /// Notes that the body of a request is being read, or no longer.
+    pub(super) fn set_reading_body(&self, is_reading_body: bool) {
+        self.is_reading_body.set(is_reading_body);
+    }
+
+    /// Refuses the request whose body is being read. Returns false if there is none, because its head has not arrived
+    /// completely.
+    pub(super) fn refuse_body(&self, refusal: Refusal) -> bool {
+        if self.is_reading_body.get() {
+            self.body_refusal.set(Some(refusal));
+            self.body_refused.notify_one();
+        }
+        self.is_reading_body.get()
+    }
+
+    /// Waits until the request whose body is being read is refused.
+    pub(super) async fn body_refused(&self) -> Refusal {
+        loop {
+            if let Some(refusal) = self.body_refusal.take() {
+                return refusal;
+            }
+            self.body_refused.notified().await;
+        }
+    }
+
     /// Whether an admitted request is open, so that the connection may be closed for another one only after the response.
     pub(super) fn has_admitted_request(&self) -> bool {
         self.table().has_admitted_request(self.id, Instant::now())
--- a/crates/opensearch/tests/connections.rs
+++ b/crates/opensearch/tests/connections.rs
@@ -103,6 +103,64 @@
     assert_eq!(front.accept().1, [new]);
 }
 
+/// Guards against a request that is cut for another client while there are connections between requests to close.
+#[test]
+fn connections_with_a_part_of_a_request_are_closed_after_all_others_but_new_ones() {
+    let mut front = Front::new();
+    let (receiving, _) = front.accept();
+    front.receive_request(receiving);
+    front.respond(receiving);
+    let (idle, _) = front.accept();
+    front.receive_request(idle);
+    front.respond(idle);
+    let (incomplete, _) = front.accept();
+    front.table.on_bytes_received(incomplete, front.now);
+    front.now += MS(300);
+    front.table.on_bytes_received(receiving, front.now);
+    front.now += MS(300);
+    front.accept();
+    assert_eq!(front.accept().1, [idle]);
+    assert_eq!(front.accept().1, [incomplete]);
+    assert!(front.table.is_receiving(incomplete), "it is refused first");
+    assert_eq!(front.accept().1, [receiving]);
+    assert!(front.accept().1.is_empty(), "all others are new");
+}
+
+/// Guards against a shutdown that ends connections in the middle of a request, or waits for those without one.
+#[test]
+fn draining_closes_connections_without_a_request_and_receives_begun_requests() {
+    let mut front = Front::new();
+    let (silent, _) = front.accept();
+    let (idle, _) = front.accept();
+    front.receive_request(idle);
+    front.respond(idle);
+    let (receiving, _) = front.accept();
+    front.table.on_bytes_received(receiving, front.now);
+    let (serving, _) = front.accept();
+    front.receive_request(serving);
+    assert!(!front.table.closes_after_response(serving));
+    front.now += MS(500);
+    front.table.start_draining();
+    for id in [silent, idle] {
+        let deadline = front.table.deadline(id);
+        assert!(deadline.is_some_and(|deadline| deadline <= front.now));
+    }
+    assert_eq!(front.ms_left(receiving), Some(1_500));
+    assert!(front.table.closes_after_response(serving));
+    front.table.on_bytes_received(serving, front.now);
+    assert!(
+        !front.table.closes_after_response(serving),
+        "the next request has begun"
+    );
+    front.respond(serving);
+    assert!(front.table.is_receiving(serving));
+    assert_eq!(front.receive_request(serving), Admission::Admitted);
+    assert!(front.table.closes_after_response(serving));
+    // A new connection may have its first request in the socket already.
+    let (new, _) = front.accept();
+    assert_eq!(front.ms_left(new), Some(10));
+}
+
 #[test]
 fn connections_with_an_open_request_are_never_closed_for_others() {
     let mut front = Front::new();
--- a/crates/standins/tests/search_front_connections.rs
+++ b/crates/standins/tests/search_front_connections.rs
@@ -253,3 +253,49 @@
         sleep(MS(2_500)).await;
     }
 }
+
+/// Guards against a request that is cut for another client: while there are connections between requests, these are closed,
+/// and a request that can't be received to its end is refused before its connection is closed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn no_search_that_has_begun_is_dropped_for_another_client() {
+    let directory = tempfile::tempdir().unwrap();
+    let cluster = start_cluster(&directory, Some(FEW_CONNECTIONS)).await;
+    let address = cluster.mixers[0].search_address;
+    let search = search_text(CLASS);
+    for cut in [1, search.len() / 2, search.len() - 20, search.len() - 1] {
+        // Connections between requests are closed first.
+        let mut others = Vec::new();
+        let mut writing = TcpStream::connect(address).await.unwrap();
+        exchange(&mut writing, &search, FINAL_ANSWER_TIMEOUT).await;
+        writing.write_all(&search.as_bytes()[..cut]).await.unwrap();
+        sleep(MS(400)).await;
+        for _ in 0..FEW_CONNECTIONS + 2 {
+            let mut other = TcpStream::connect(address).await.unwrap();
+            exchange(&mut other, &search, FINAL_ANSWER_TIMEOUT).await;
+            others.push(other);
+        }
+        let outcome = exchange(&mut writing, &search[cut..], FINAL_ANSWER_TIMEOUT).await;
+        assert!(
+            matches!(outcome.status(), Some(200 | 429)),
+            "cut at {cut}: {outcome:?}"
+        );
+        drop((others, writing));
+        // All are in the middle of a request.
+        let mut incomplete = Vec::new();
+        for _ in 0..3 * FEW_CONNECTIONS {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            stream.write_all(&search.as_bytes()[..cut]).await.unwrap();
+            incomplete.push(stream);
+            sleep(MS(50)).await;
+        }
+        let (status, _) = search_beside(address, Holder::HalfBody).await;
+        assert!(status == 200 || status == 429, "{status}");
+        for mut stream in incomplete {
+            let outcome = exchange(&mut stream, "", BAD_CLIENT_TIMEOUT).await;
+            assert!(
+                matches!(outcome.status(), Some(408 | 429)),
+                "cut at {cut}: {outcome:?}"
+            );
+        }
+    }
+}
--- a/crates/standins/tests/search_front_shutdown.rs
+++ b/crates/standins/tests/search_front_shutdown.rs
@@ -7,6 +7,7 @@
 use cottonhill_standins::cluster::{ClusterConfig, LocalCluster, CLASSES, SHARDS, TENANTS};
 use search_client::{exchange, multi_search_text, search_text, Outcome};
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -216,7 +217,7 @@
     }
 }
 
-/// Guards against connections that delay the exit: silent ones, idle ones and one with an incomplete request.
+/// Guards against connections that delay the exit: silent ones and idle ones.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn connections_without_a_request_do_not_delay_the_exit() {
     let directory = tempfile::tempdir().unwrap();
@@ -227,14 +228,115 @@
     let mut idle = TcpStream::connect(address).await.unwrap();
     let outcome = exchange(&mut idle, &search, MS(1_400)).await;
     assert_eq!(outcome.status(), Some(200));
-    let mut incomplete = TcpStream::connect(address).await.unwrap();
-    incomplete
-        .write_all(&search.as_bytes()[..30])
-        .await
-        .unwrap();
     let elapsed = stop_in_time(&mut cluster);
     assert!(elapsed < MS(1_500), "grace period and more: {elapsed:?}");
-    for stream in [&mut silent, &mut idle, &mut incomplete] {
+    for stream in [&mut silent, &mut idle] {
         let _ = stream.shutdown().await;
     }
 }
+
+/// A connection with a part of a request.
+struct BegunRequest {
+    stream: TcpStream,
+    text: String,
+    cut: usize,
+    kind: &'static str,
+}
+
+/// Sends a part of a search on a new connection and on one that has been served, for each number of bytes in `cuts`.
+async fn begin_requests(address: SocketAddr, cuts: Range<usize>) -> Vec<BegunRequest> {
+    let text = search_text(CLASSES[0].0);
+    let mut begun = Vec::new();
+    for cut in cuts {
+        for kind in ["new", "served"] {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            stream.set_nodelay(true).unwrap();
+            if kind == "served" {
+                let outcome = exchange(&mut stream, &text, MS(1_400)).await;
+                assert!(outcome.status().is_some(), "{outcome:?}");
+            }
+            let text = text.clone();
+            begun.push(BegunRequest {
+                stream,
+                text,
+                cut,
+                kind,
+            });
+        }
+    }
+    for request in &mut begun {
+        let part = &request.text.as_bytes()[..request.cut];
+        request.stream.write_all(part).await.unwrap();
+    }
+    begun
+}
+
+/// Guards against a shutdown that drops the searches that are being written (review case 6, at the other front), cut at
+/// every byte: each gets its answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_search_that_is_being_written_at_the_shutdown_is_answered_whichever_byte_it_is_cut_at() {
+    let length = search_text(CLASSES[0].0).len();
+    // No more connections at once than the front keeps open without closing some for others.
+    for start in (1..length).step_by(30) {
+        let directory = tempfile::tempdir().unwrap();
+        let mut cluster = start_cluster(&directory, MS(5)).await;
+        let address = cluster.mixers[0].search_address;
+        let begun = begin_requests(address, start..length.min(start + 30)).await;
+        let finish = tokio::spawn(async move {
+            sleep(MS(1_100)).await;
+            let mut outcomes = Vec::new();
+            for mut request in begun {
+                let rest = &request.text[request.cut..];
+                let outcome = exchange(&mut request.stream, rest, MS(1_400)).await;
+                outcomes.push((request.cut, request.kind, outcome));
+            }
+            outcomes
+        });
+        stop_in_time(&mut cluster);
+        for (cut, kind, outcome) in finish.await.unwrap() {
+            let status = outcome.status();
+            // A search may be refused, as at any time.
+            assert!(
+                matches!(status, Some(200 | 429)),
+                "{kind} connection, cut at {cut}: {outcome:?}"
+            );
+        }
+    }
+}
+
+/// Guards against an exit that leaves a request without a response which never becomes complete, cut in its head or in its
+/// body: it is refused when its time is over, or at the shutdown deadline if that comes first.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_search_that_stays_incomplete_through_the_shutdown_gets_an_error_before_the_exit() {
+    let length = search_text(CLASSES[0].0).len();
+    for (begins_after, expected_status) in [(MS(0), 408), (MS(500), 429)] {
+        let directory = tempfile::tempdir().unwrap();
+        let mut cluster = start_cluster(&directory, MS(5)).await;
+        let address = cluster.mixers[0].search_address;
+        let process = cluster.mixers[0].process.as_ref().unwrap();
+        process.signal("-TERM").unwrap();
+        let ending_at = Instant::now() + SIGKILL_AFTER;
+        sleep(begins_after).await;
+        let mut begun = begin_requests(address, 1..2).await;
+        begun.extend(begin_requests(address, length - 20..length - 19).await);
+        let read = tokio::spawn(async move {
+            let mut outcomes = Vec::new();
+            for mut request in begun {
+                let outcome = exchange(&mut request.stream, "", MS(2_500)).await;
+                outcomes.push((request.cut, request.kind, outcome));
+            }
+            outcomes
+        });
+        let remaining = ending_at.duration_since(Instant::now());
+        let stopped = tokio::task::block_in_place(|| cluster.stop_mixer(0, remaining));
+        for (cut, kind, outcome) in read.await.unwrap() {
+            let context = format!("{kind} connection, cut at {cut}, after {begins_after:?}");
+            assert_eq!(
+                outcome.status(),
+                Some(expected_status),
+                "{context}: {outcome:?}"
+            );
+        }
+        assert!(stopped, "not ended by itself before SIGKILL");
+    }
+}
