Search front: refuse only searches of which nothing has run

Cause: query_shards made 503 of Reply::Failed and of its own checks (coverage, partial answers), 429 of answers over the size limit, all after the parts had run and whatever the effect of the class. The reducer's promise (Rejected) and its failures became the same word.

Change: only a rejection by the reducer is a refusal (429). What fails after that is 504 where the class may simply be repeated, else 500, as client libraries repeat a 504 by themselves; answers over the size limit are 500. QuerySchema has the effect of each class.

--- a/crates/mixer/src/config/mod.rs
+++ b/crates/mixer/src/config/mod.rs
@@ -109,7 +109,7 @@
                 peers: file.peers,
                 peers_all: file.peers_all,
             },
-            query_schema: query_schema(&mixer_settings),
+            query_schema: query_schema(&mixer_settings, &settings),
             name: file.name,
             listen: file.listen,
             mixer_settings,
@@ -145,12 +145,14 @@
     u64::from_str_radix(text, SEED_RADIX).map_err(|_| ConfigError::InvalidSeed(text.to_string()))
 }
 
-fn query_schema(settings: &MixerSettings) -> QuerySchema {
+fn query_schema(mixer_settings: &MixerSettings, settings: &Settings) -> QuerySchema {
+    let idempotencies = settings.classes.iter().map(|class| class.idempotency);
     QuerySchema {
-        classes: settings.classes.clone(),
-        tenants: settings.tenants.clone(),
-        default_timeouts: settings.deadlines.clone(),
-        minimum_coverages: settings.minimum_coverages.clone(),
-        shards: settings.shards,
+        classes: mixer_settings.classes.clone(),
+        tenants: mixer_settings.tenants.clone(),
+        default_timeouts: mixer_settings.deadlines.clone(),
+        idempotencies: idempotencies.collect(),
+        minimum_coverages: mixer_settings.minimum_coverages.clone(),
+        shards: mixer_settings.shards,
     }
 }
--- a/crates/mixer/src/protocol/query_json/mod.rs
+++ b/crates/mixer/src/protocol/query_json/mod.rs
@@ -7,6 +7,8 @@
 pub use render::{answer_length, render};
 pub use request::parse;
 
+pub use cottonhill_decisions::Idempotency;
+
 use super::http::RequestError;
 use bytes::Bytes;
 use cottonhill_decisions::Nanos;
@@ -24,12 +26,22 @@
     pub tenants: Vec<String>,
     /// By class: the client's timeout if the request has none, in nanoseconds.
     pub default_timeouts: Vec<Nanos>,
+    /// By class: the effect of executing a part again. Missing classes are not idempotent.
+    pub idempotencies: Vec<Idempotency>,
     /// By class: minimum coverage, as a fraction of the weight, of any answer.
     pub minimum_coverages: Vec<f64>,
     /// Number of shards; they are numbered from 0.
     pub shards: u32,
 }
 
+impl QuerySchema {
+    /// The effect of executing a part of this class again.
+    pub fn idempotency(&self, class: usize) -> Idempotency {
+        let idempotency = self.idempotencies.get(class).copied();
+        idempotency.unwrap_or(Idempotency::NonIdempotent)
+    }
+}
+
 /// One part of a query: a shard to search.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PartRequest {
--- a/crates/opensearch/src/front/search.rs
+++ b/crates/opensearch/src/front/search.rs
@@ -137,6 +137,7 @@
     let (front, schema) = (&context.front, context.queries.query_schema().clone());
     let (index, settings) = find_index(front, name)?;
     let class = class_number(index, settings, &schema)?;
+    let idempotency = schema.idempotency(class);
     let tenant = tenant_number(front, client, &schema)?;
     let selected = select_shards(index, settings, parameters)?;
     let query = build_query(
@@ -165,14 +166,11 @@
                 total: selected.len(),
                 ..ShardStatistics::default()
             };
-            return Err(response::search_failed(
-                503,
-                index,
-                &shards,
-                "all shards failed or were too late",
-            ));
+            let reason = "all shards failed or were too late";
+            return Err(response::search_failed(idempotency, index, &shards, reason));
         }
     };
+    // Shards have been searched: from here on, a rejection would promise too much.
     check_answer_size(front, &hits, &client.memory)?;
     let (shards, answers, coverage) = parse_answers(&selected, &hits, search);
     // Neither shards that answered with an error nor shards that did not answer count towards the coverage.
@@ -183,16 +181,17 @@
             shards.failures.len(),
             shards.total
         );
-        return Err(response::search_failed(503, index, &shards, &reason));
-    }
-    if parameters.allow_partial_results == Some(false) && shards.successful < shards.total {
         return Err(response::search_failed(
-            503,
+            idempotency,
             index,
             &shards,
-            "Partial shards failure",
+            &reason,
         ));
     }
+    if parameters.allow_partial_results == Some(false) && shards.successful < shards.total {
+        let reason = "Partial shards failure";
+        return Err(response::search_failed(idempotency, index, &shards, reason));
+    }
     Ok(ShardResults {
         index,
         shards,
@@ -349,7 +348,6 @@
             Ok(())
         } else {
             let reason = format!("the shards' answers hold {answer_bytes} bytes, and others hold the memory for them");
-            // Not 429 or 503, since the search has run.
             Err(response::error(500, "circuit_breaking_exception", &reason))
         };
     }
@@ -357,7 +355,7 @@
         "the shards' answers hold {answer_bytes} bytes, and {} may be held",
         front.max_answer_bytes
     );
-    let mut answer = response::error(429, "circuit_breaking_exception", &reason);
+    let mut answer = response::error(500, "circuit_breaking_exception", &reason);
     answer.body["error"]["durability"] = json!("PERMANENT");
     Err(answer)
 }
--- a/crates/opensearch/src/response.rs
+++ b/crates/opensearch/src/response.rs
@@ -2,6 +2,7 @@
 
 use crate::dsl::{Search, SearchError, TrackTotalHits};
 use crate::merge::{MergedResults, Relation, ShardFailure, Total};
+use cottonhill_mixer::protocol::query_json::Idempotency;
 use serde::Serialize;
 use serde_json::{json, Value};
 use std::time::Duration;
@@ -103,14 +104,27 @@
     }
 }
 
-/// The response to a search that failed because of shard failures.
+/// The status of a search that has failed and of which parts may have been executed. Never 429 or 503, which promise that
+/// nothing was executed. Client libraries repeat a request after a 504 by themselves, and not after a 500.
+fn failed_status(idempotency: Idempotency) -> u16 {
+    match idempotency {
+        Idempotency::Idempotent => 504,
+        Idempotency::IdempotencyKey | Idempotency::NonIdempotent => 500,
+    }
+}
+
+/// The response to a search that failed because of shard failures. `idempotency` is that of its class.
 pub fn search_failed(
-    status: u16,
+    idempotency: Idempotency,
     index: &str,
     shards: &ShardStatistics,
     reason: &str,
 ) -> RestResponse {
-    let mut response = error(status, "search_phase_execution_exception", reason);
+    let mut response = error(
+        failed_status(idempotency),
+        "search_phase_execution_exception",
+        reason,
+    );
     response.body["error"]["phase"] = json!("query");
     response.body["error"]["grouped"] = json!(true);
     response.body["error"]["failed_shards"] = shards.failures_json(index);
