Discovery: keep a replaced watch until a newer one has delivered an update

Cause: each reload aborted the watch in force, whose request would have been answered, and with it the staleness bound, which WatchPolicy keeps for one watch only.

Change: reducer::watches has the running watches. A replaced one goes on until a newer one has delivered an update or its connection has ended; at most four run. Inputs name their watch; those of stopped ones are ignored. The delay before a request reserves 1.25 of the last answer time, 1.5 s at least.

--- a/crates/lab/src/hollow/mixer.rs
+++ b/crates/lab/src/hollow/mixer.rs
@@ -62,9 +62,11 @@
     fn apply(&mut self, input: Input) {
         for effect in self.reducer.apply(self.clock.now(), input) {
             // Without clients, the only other effects are connections to leaf servers, which do not exist.
+            // The hollow mixers' configuration is never reloaded.
             if let Effect::WatchEndpoints {
                 address,
                 from_version,
+                ..
             } = effect
             {
                 self.watch.abort();
--- a/crates/lab/src/scale/driver.rs
+++ b/crates/lab/src/scale/driver.rs
@@ -7,7 +7,7 @@
 use cottonhill_mixer::protocol::endpoint_updates::EndpointUpdate;
 use cottonhill_mixer::protocol::leaf_frames::{CallPart, LeafRequest, LeafResponse, PartStatus};
 use cottonhill_mixer::protocol::query_json::{ClientRequest, PartRequest, QueryRequest, Reply};
-use cottonhill_mixer::reducer::{Effect, Input, Reducer};
+use cottonhill_mixer::reducer::{Effect, Input, Reducer, WatchId};
 use cottonhill_mixer::settings;
 use std::collections::VecDeque;
 use std::time::Instant;
@@ -141,7 +141,8 @@
 
     /// Applies a snapshot or a change of the endpoint list to the reducer and processes the batch.
     pub fn apply_update(&mut self, update: EndpointUpdate) {
-        self.inputs.push(Input::EndpointsUpdated(update));
+        let watch = WatchId::FIRST;
+        self.inputs.push(Input::EndpointsUpdated { watch, update });
         self.process_batch();
     }
 
--- a/crates/mixer/src/reducer/batch.rs
+++ b/crates/mixer/src/reducer/batch.rs
@@ -44,10 +44,7 @@
             Timer::ShutdownDeadline => self.on_shutdown_deadline(now),
             Timer::LastResponsesDue => self.exit(),
             Timer::DiscoveryTimeout => self.on_discovery_timeout(now),
-            Timer::DiscoveryCaughtUp(address) => self.effects.push(Effect::WatchEndpoints {
-                address,
-                from_version: None,
-            }),
+            Timer::DiscoveryCaughtUp(address) => self.replace_watch(address, None),
             Timer::WriteStalled(connection, write_started_at) => {
                 self.on_write_stalled(now, connection, write_started_at);
             }
--- a/crates/mixer/src/reducer/discovery.rs
+++ b/crates/mixer/src/reducer/discovery.rs
@@ -3,7 +3,7 @@
 use super::replicas::EndpointChanges;
 use super::timers::Timer;
 use super::watch_policy::WatchMode;
-use super::{Effect, Reducer, UpdateFault, WatchEvent, WatchPolicy, NANOS_PER_MS};
+use super::{Effect, Reducer, UpdateFault, WatchEvent, WatchId, WatchPolicy, NANOS_PER_MS};
 use crate::log_targets;
 use crate::protocol::endpoint_updates::EndpointUpdate;
 use crate::settings::MixerSettings;
@@ -17,6 +17,10 @@
     watch_policy: WatchPolicy,
     /// When an update or a heartbeat was last received; initially the start of the process.
     last_received_at: Nanos,
+    /// Whether an update was rejected and no snapshot has arrived since: the changes in it are unknown.
+    needs_snapshot: bool,
+    /// The address of the last reload; `None` before the first one.
+    address: Option<SocketAddr>,
 }
 
 impl Discovery {
@@ -30,6 +34,8 @@
         Discovery {
             watch_policy: WatchPolicy::new(mode, seed, settings.fleet_size),
             last_received_at: now,
+            needs_snapshot: false,
+            address: None,
         }
     }
 
@@ -70,7 +76,45 @@
 }
 
 impl Reducer {
-    pub(super) fn on_endpoints_updated(&mut self, now: Nanos, update: EndpointUpdate) {
+    /// Applies an update, and stops the watches that its watch has replaced. An update of a watch that was stopped is
+    /// ignored.
+    pub(super) fn on_endpoints_updated(
+        &mut self,
+        now: Nanos,
+        watch: WatchId,
+        update: EndpointUpdate,
+    ) {
+        if !self.watches.contains(watch) {
+            return;
+        }
+        let replaced = self.watches.on_update(watch);
+        if self.is_overtaken(now, &update) {
+            self.discovery.last_received_at = now;
+        } else {
+            self.apply_endpoints(now, update);
+        }
+        for watch in replaced {
+            self.stop_watch(watch, "a newer watch has delivered an update");
+        }
+    }
+
+    /// Whether another watch has delivered later changes than this update of a new watch, which was on its way meanwhile: a
+    /// delta without news must not undo them. A snapshot applies all the same, since discovery may have been restarted;
+    /// after a reload it makes no replica ready again that was announced as draining or removed, until discovery must have
+    /// caught up.
+    fn is_overtaken(&mut self, now: Nanos, update: &EndpointUpdate) -> bool {
+        let versions_differ = self.discovery.watch_policy.versions_differ_by_address();
+        if versions_differ || update.version >= self.replicas.version() {
+            return false;
+        }
+        if update.snapshot {
+            self.expect_lag(now);
+        }
+        !update.snapshot
+    }
+
+    fn apply_endpoints(&mut self, now: Nanos, update: EndpointUpdate) {
+        self.discovery.needs_snapshot &= !update.snapshot;
         let (version, snapshot) = (update.version, update.snapshot);
         let entries = update.entries.len();
         let invalid_entries = update.invalid_entries as u64;
@@ -159,12 +203,27 @@
         }
     }
 
-    pub(super) fn on_watch_event(&mut self, now: Nanos, event: WatchEvent) {
+    pub(super) fn on_watch_event(&mut self, now: Nanos, watch: WatchId, event: WatchEvent) {
+        self.count_watch_event(event);
+        match event {
+            WatchEvent::Requested => self.watches.on_requested(watch),
+            WatchEvent::Heartbeat => self.discovery.last_received_at = now,
+            WatchEvent::Ended { .. } => {
+                if self.watches.on_connection_ended(watch) {
+                    self.stop_watch(watch, "its connection has ended");
+                }
+            }
+            WatchEvent::UpdateRejected(_) => self.discovery.needs_snapshot = true,
+            WatchEvent::VersionRegressed => {}
+        }
+    }
+
+    fn count_watch_event(&mut self, event: WatchEvent) {
         let watches = &mut self.counters.watches;
         let update_faults = &mut self.counters.update_faults;
         match event {
             WatchEvent::Requested => watches.requested += 1,
-            WatchEvent::Heartbeat => self.discovery.last_received_at = now,
+            WatchEvent::Heartbeat => {}
             WatchEvent::Ended { timed_out } => {
                 watches.ended += 1;
                 watches.timed_out += u64::from(timed_out);
@@ -179,25 +238,65 @@
     }
 
     /// Starts a new watch at the configured address, even if the address is unchanged, since an operator may reload to
-    /// renew the watch. The endpoint list, connections and queries are kept.
+    /// renew the watch. The endpoint list, connections and queries are kept, and so is the watch until the new one has
+    /// delivered an update.
     pub(super) fn on_config_reloaded(&mut self, now: Nanos, discovery: Option<SocketAddr>) {
         let Some(address) = discovery else {
             self.counters.reloads.invalid += 1;
             return;
         };
         self.counters.reloads.applied += 1;
+        self.discovery.address = Some(address);
         let mut from_version = Some(self.replicas.version());
+        if self.discovery.needs_snapshot {
+            from_version = None;
+        }
         if self.discovery.watch_policy.versions_differ_by_address() {
             // Versions of different addresses are not comparable.
             from_version = None;
-            let caught_up_at = self.replicas.on_discovery_switched(now);
-            self.timers.cancel_discovery_caught_up();
-            self.timers
-                .set(caught_up_at, Timer::DiscoveryCaughtUp(address));
+            self.expect_lag(now);
+        }
+        self.replace_watch(address, from_version);
+    }
+
+    /// Expects updates that do not have the changes yet that were announced earlier, and requests a snapshot once they
+    /// have. Has no effect before the first reload.
+    fn expect_lag(&mut self, now: Nanos) {
+        let Some(address) = self.discovery.address else {
+            return;
+        };
+        let caught_up_at = self.replicas.on_discovery_switched(now);
+        self.timers.cancel_discovery_caught_up();
+        self.timers
+            .set(caught_up_at, Timer::DiscoveryCaughtUp(address));
+    }
+
+    /// Starts a watch in place of the current one, which goes on until the new one has delivered an update or its own
+    /// connection ends.
+    pub(super) fn replace_watch(&mut self, address: SocketAddr, from_version: Option<u64>) {
+        let (watch, stopped) = self.watches.replace_current();
+        tracing::debug!(
+            target: log_targets::CONNECTIONS, ?watch,
+            %address,
+            from_version,
+            running = self.watches.len(),
+            "endpoint watch replaced"
+        );
+        for watch in stopped {
+            self.stop_watch(
+                watch,
+                "it has no connection, or too many watches are running",
+            );
         }
         self.effects.push(Effect::WatchEndpoints {
+            watch,
             address,
             from_version,
         });
     }
+
+    fn stop_watch(&mut self, watch: WatchId, reason: &'static str) {
+        tracing::debug!(target: log_targets::CONNECTIONS, ?watch, reason, "replaced endpoint watch stopped");
+        self.effects.push(Effect::StopWatch { watch });
+    }
 }
--- a/crates/mixer/src/reducer/effect.rs
+++ b/crates/mixer/src/reducer/effect.rs
@@ -3,6 +3,7 @@
 use super::counters::Counters;
 use super::input::{ClientId, ConnectionId};
 use super::usage::{UsageRecord, Watermark};
+use super::watches::WatchId;
 use crate::protocol::leaf_frames::LeafRequest;
 use crate::protocol::query_json::Reply;
 use std::net::SocketAddr;
@@ -59,13 +60,20 @@
         /// The payload.
         bytes: Vec<u8>,
     },
-    /// Watches the endpoint list at this address. Replaces the current watch.
+    /// Watches the endpoint list at this address, beside the watches that are running.
     WatchEndpoints {
+        /// The new watch.
+        watch: WatchId,
         /// Discovery's address.
         address: SocketAddr,
         /// The version from which the watch requests deltas; `None` requests a snapshot first.
         from_version: Option<u64>,
     },
+    /// Stops a watch, if it is running.
+    StopWatch {
+        /// The watch.
+        watch: WatchId,
+    },
     /// Accepts the connections in the listener's backlog, then closes the listener.
     CloseListener,
     /// Has the frontends refuse the requests that have not arrived completely, since the process ends.
--- a/crates/mixer/src/reducer/input.rs
+++ b/crates/mixer/src/reducer/input.rs
@@ -1,6 +1,7 @@
 //! The inputs of the reducer: every external event that it reacts to.
 
 use super::resource_usage::TransportMemory;
+use super::watches::WatchId;
 use crate::protocol::endpoint_updates::EndpointUpdate;
 use crate::protocol::http::RequestError;
 use crate::protocol::leaf_frames::LeafResponse;
@@ -14,7 +15,7 @@
 /// Identifies a connection to a leaf server. Ids are not reused.
 pub type ConnectionId = u64;
 
-/// An event of the watch on discovery, other than an update.
+/// An event of a watch on discovery, other than an update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WatchEvent {
     /// A watch or a snapshot was requested.
@@ -107,9 +108,19 @@
         connection: ConnectionId,
     },
     /// Discovery sent an update of the endpoint list.
-    EndpointsUpdated(EndpointUpdate),
-    /// The watch on discovery had an event other than an update.
-    Watch(WatchEvent),
+    EndpointsUpdated {
+        /// The watch that received it.
+        watch: WatchId,
+        /// The update.
+        update: EndpointUpdate,
+    },
+    /// A watch on discovery had an event other than an update.
+    Watch {
+        /// The watch.
+        watch: WatchId,
+        /// The event.
+        event: WatchEvent,
+    },
     /// Another mixer sent a datagram.
     DatagramReceived {
         /// The number of the sending mixer.
--- a/crates/mixer/src/reducer/mod.rs
+++ b/crates/mixer/src/reducer/mod.rs
@@ -41,12 +41,14 @@
 pub mod usage;
 mod usage_recorder;
 pub mod watch_policy;
+mod watches;
 
 pub use effect::{Effect, ExitReport};
 pub use input::{ClientId, ConnectionId, Input, UpdateFault, WatchEvent};
 pub use memory_budget::MemoryBudget;
 pub use probes::ProbeId;
 pub use watch_policy::WatchPolicy;
+pub use watches::WatchId;
 
 use crate::protocol::endpoint_updates::EndpointUpdate;
 use crate::settings::MixerSettings;
@@ -67,6 +69,7 @@
 use response_memory::ResponseMemory;
 use timers::{Timer, Timers};
 use usage_recorder::UsageRecorder;
+use watches::Watches;
 
 const NANOS_PER_MS: Nanos = 1_000_000;
 
@@ -88,6 +91,7 @@
     /// The memory of the transport when it last reported it.
     transport_memory: TransportMemory,
     discovery: Discovery,
+    watches: Watches,
     replicas: Replicas,
     connections: LeafConnections,
     clients: Clients,
@@ -127,6 +131,7 @@
             response_memory: ResponseMemory::default(),
             transport_memory: TransportMemory::default(),
             discovery: Discovery::new(now, &mixer_settings, &settings, seed),
+            watches: Watches::new(),
             replicas,
             connections: LeafConnections::default(),
             clients: Clients::default(),
@@ -203,6 +208,7 @@
             + self.connections.len()
             + self.timers.len()
             + self.replicas.len()
+            + self.watches.len()
             + self.coordinator.retained_entries()
     }
 
@@ -229,8 +235,10 @@
             Input::FrameWritten { connection } => self.on_frame_written(connection),
             Input::FrameReceived { connection, frame } => self.on_frame(now, connection, frame),
             Input::ConnectionClosed { connection } => self.on_connection_closed(now, connection),
-            Input::EndpointsUpdated(update) => self.on_endpoints_updated(now, update),
-            Input::Watch(event) => self.on_watch_event(now, event),
+            Input::EndpointsUpdated { watch, update } => {
+                self.on_endpoints_updated(now, watch, update);
+            }
+            Input::Watch { watch, event } => self.on_watch_event(now, watch, event),
             Input::DatagramReceived { from, bytes } => {
                 self.events.push(Event::DatagramReceived { from, bytes });
             }
--- a/crates/mixer/src/reducer/watch_policy.rs
+++ b/crates/mixer/src/reducer/watch_policy.rs
@@ -45,6 +45,8 @@
     pub received_any: bool,
     /// Whether it timed out: no connection was established, or no update or heartbeat was received, in time.
     pub timed_out: bool,
+    /// How long the service took to answer when it last did, from the start of the connect; `None` before that.
+    pub answer_time: Option<Duration>,
     /// The service's `Retry-After`.
     pub retry_after: Option<Duration>,
 }
@@ -53,8 +55,10 @@
 /// regardless of failed requests in between. A change that a stalled watch misses counts as announced this long after
 /// the last message of the watch.
 pub const STALENESS_BOUND: Duration = Duration::from_secs(6);
-/// The part of [`STALENESS_BOUND`] that is reserved for the successful request, to connect and to be answered.
+/// The least part of [`STALENESS_BOUND`] that is reserved for the successful request, to connect and to be answered.
 const RESERVED_REQUEST_TIME: Duration = Duration::from_millis(1_500);
+/// While the service takes longer to answer, this multiple of its last answer time is reserved.
+const RESERVED_ANSWER_TIMES: f64 = 1.25;
 /// Heartbeats are due every 2 s; the timeout allows for a delay of half an interval. A false timeout costs one request.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(3);
 /// A request may wait while the service serves others; this timeout is longer than the service's own.
@@ -152,6 +156,8 @@
             // The agent's changes count as announced at once, so its Retry-After is ignored.
             WatchMode::Push { .. } => retry_interval.saturating_sub(ended.duration),
             WatchMode::Poll { .. } => {
+                let retry_interval =
+                    retry_interval.min(STALENESS_BOUND - reserved_request_time(ended));
                 let limit = max_poll_delay(retry_interval, ended).min(retry_interval);
                 self.backoff
                     .next_delay(ended.received_any, ended.retry_after, limit)
@@ -160,11 +166,22 @@
     }
 }
 
+/// The time to reserve for the next request, within the timeouts of a request.
+fn reserved_request_time(ended: WatchEnd) -> Duration {
+    let answer_time = ended.answer_time.unwrap_or_default();
+    answer_time.mul_f64(RESERVED_ANSWER_TIMES).clamp(
+        RESERVED_REQUEST_TIME,
+        POLL_CONNECT_TIMEOUT + POLL_ANSWER_TIMEOUT,
+    )
+}
+
 /// The longest delay after which the next request still meets the staleness bound.
 fn max_poll_delay(retry_interval: Duration, ended: WatchEnd) -> Duration {
     match (ended.received_any, ended.timed_out) {
         // The staleness is measured from the last message of the watch.
-        (true, true) => STALENESS_BOUND - HEARTBEAT_TIMEOUT - RESERVED_REQUEST_TIME,
+        (true, true) => STALENESS_BOUND
+            .saturating_sub(HEARTBEAT_TIMEOUT)
+            .saturating_sub(reserved_request_time(ended)),
         (true, false) => retry_interval,
         // Discovery may have recovered right after this request was started, so its duration counts.
         (false, _) => retry_interval.saturating_sub(ended.duration),
--- a/crates/mixer/src/transport/discovery_watch.rs
+++ b/crates/mixer/src/transport/discovery_watch.rs
@@ -4,11 +4,13 @@
 use crate::protocol::endpoint_updates::{self, EndpointUpdate, UpdateError};
 use crate::protocol::http::{WatchCodec, WatchRejected, WatchRequest};
 use crate::reducer::watch_policy::WatchEnd;
-use crate::reducer::{Input, UpdateFault, WatchEvent, WatchPolicy};
+use crate::reducer::{Input, UpdateFault, WatchEvent, WatchId, WatchPolicy};
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
+use std::cell::Cell;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -25,20 +27,30 @@
     address: SocketAddr,
     from_version: Option<u64>,
 ) {
-    DiscoveryWatch::new(updates, policy, address, from_version)
+    let answer_time = AnswerTime::default();
+    let id = WatchId::FIRST;
+    DiscoveryWatch::new(id, updates, policy, address, from_version, answer_time)
         .run()
         .await;
 }
 
+/// How long discovery took, when it last answered, from the connect to its first message; `None` before that. Shared by
+/// successive watches.
+pub(super) type AnswerTime = Rc<Cell<Option<Duration>>>;
+
 /// The watch on one discovery address, across successive connections.
 pub(super) struct DiscoveryWatch {
+    id: WatchId,
     updates: mpsc::Sender<Input>,
     policy: WatchPolicy,
     address: SocketAddr,
     /// Version of the last update; `None` if the next request is for a snapshot.
     version: Option<u64>,
+    /// When the current connection was started.
+    started_at: Instant,
     /// Whether the current connection has delivered an update or a heartbeat.
     message_received: bool,
+    answer_time: AnswerTime,
     /// Whether the last update was rejected and this has been logged.
     rejection_logged: bool,
     /// Whether the last connection ended without delivering anything and this has been logged.
@@ -48,17 +60,22 @@
 impl DiscoveryWatch {
     /// Creates a watch that requests the changes after version `from_version`, or a snapshot if that is `None`.
     pub(super) fn new(
+        id: WatchId,
         updates: mpsc::Sender<Input>,
         policy: WatchPolicy,
         address: SocketAddr,
         from_version: Option<u64>,
+        answer_time: AnswerTime,
     ) -> DiscoveryWatch {
         DiscoveryWatch {
+            id,
             updates,
             policy,
             address,
             version: from_version,
+            started_at: Instant::now(),
             message_received: false,
+            answer_time,
             rejection_logged: false,
             failure_logged: false,
         }
@@ -68,23 +85,24 @@
     pub(super) async fn run(mut self) {
         loop {
             self.message_received = false;
-            let started_at = Instant::now();
+            self.started_at = Instant::now();
             if let Err(error) = self.watch_once().await {
-                let delay = self.connection_ended(started_at, error).await;
+                let delay = self.connection_ended(error).await;
                 sleep(delay).await;
             }
         }
     }
 
     /// Reports and logs the end of a connection. Returns the delay before the next connection.
-    async fn connection_ended(&mut self, started_at: Instant, error: io::Error) -> Duration {
+    async fn connection_ended(&mut self, error: io::Error) -> Duration {
         self.failure_logged &= !self.message_received;
         let timed_out = error.kind() == ErrorKind::TimedOut;
         self.send_event(WatchEvent::Ended { timed_out }).await;
         let delay = self.policy.next_delay(WatchEnd {
-            duration: started_at.elapsed(),
+            duration: self.started_at.elapsed(),
             received_any: self.message_received,
             timed_out,
+            answer_time: self.answer_time.get(),
             retry_after: retry_after(&error),
         });
         self.log_end(delay, &error);
@@ -126,7 +144,7 @@
         loop {
             let message = self.next_message(connection).await?;
             let update = self.parse_update(message).await?;
-            self.message_received = true;
+            self.on_message();
             let Some(update) = update else {
                 self.send_event(WatchEvent::Heartbeat).await;
                 continue;
@@ -138,6 +156,14 @@
         }
     }
 
+    /// Notes that an update or a heartbeat has been received.
+    fn on_message(&mut self) {
+        if !self.message_received {
+            self.answer_time.set(Some(self.started_at.elapsed()));
+        }
+        self.message_received = true;
+    }
+
     /// Reads the next message; returns `TimedOut` if discovery sends nothing for too long.
     async fn next_message(
         &self,
@@ -180,7 +206,9 @@
         self.check_version(&update).await?;
         self.version = Some(update.version);
         self.rejection_logged = false;
-        self.send_input(Input::EndpointsUpdated(update)).await;
+        let watch = self.id;
+        self.send_input(Input::EndpointsUpdated { watch, update })
+            .await;
         Ok(())
     }
 
@@ -219,7 +247,8 @@
     }
 
     async fn send_event(&self, event: WatchEvent) {
-        self.send_input(Input::Watch(event)).await;
+        let watch = self.id;
+        self.send_input(Input::Watch { watch, event }).await;
     }
 
     async fn send_input(&self, input: Input) {
--- a/crates/mixer/src/transport/driver.rs
+++ b/crates/mixer/src/transport/driver.rs
@@ -2,13 +2,14 @@
 //! [`EffectPerformer`].
 
 use super::client_listener;
-use super::effects::{start_discovery_watch, EffectPerformer};
+use super::discovery_watches::DiscoveryWatches;
+use super::effects::EffectPerformer;
 use super::frontend::FrontendGuard;
 use super::peers::PeerSocket;
 use super::shared::{QueuedInput, Shared, MAX_QUEUED_INPUTS, MAX_QUEUED_UPDATES};
 use super::{Addresses, Clock, Control, Integrations, PendingReplies, QueryClient};
 use crate::protocol::query_json::{ClientRequest, QuerySchema};
-use crate::reducer::{Input, Reducer};
+use crate::reducer::{Input, Reducer, WatchId};
 use cottonhill_decisions::Nanos;
 use std::io;
 use tokio::net::{TcpListener, UdpSocket};
@@ -54,7 +55,8 @@
         max_clients,
     ));
     let from_version = Some(reducer.endpoint_list_version());
-    let discovery_watch = start_discovery_watch(&shared, addresses.discovery, from_version);
+    let mut watches = DiscoveryWatches::default();
+    watches.start(&shared, WatchId::FIRST, addresses.discovery, from_version);
     for start_frontend in integrations.frontends {
         reducer.add_frontend();
         let guard = FrontendGuard::new(shared.clone());
@@ -64,7 +66,7 @@
     let driver = Driver {
         reducer,
         clock,
-        effects: EffectPerformer::new(shared, peers, discovery_watch, pending_replies),
+        effects: EffectPerformer::new(shared, peers, watches, pending_replies),
     };
     driver
         .run(EventQueues {
--- a/crates/mixer/src/transport/effects.rs
+++ b/crates/mixer/src/transport/effects.rs
@@ -1,7 +1,7 @@
 //! Performs the effects that the reducer returns.
 
 use super::client_connection::ClientCommand;
-use super::discovery_watch::DiscoveryWatch;
+use super::discovery_watches::DiscoveryWatches;
 use super::leaf_connection::{self, LeafConnectionHandle};
 use super::peers::PeerSocket;
 use super::shared::Shared;
@@ -13,15 +13,14 @@
 use crate::reducer::{ClientId, ConnectionId, Effect, ExitReport};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::Instant;
 
-/// Performs effects on its connections, the watch on discovery, and the pending replies.
+/// Performs effects on its connections, the watches on discovery, and the pending replies.
 pub(super) struct EffectPerformer {
     shared: Shared,
     leaf_connections: HashMap<ConnectionId, LeafConnectionHandle>,
     peers: Option<PeerSocket>,
-    discovery_watch: AbortHandle,
+    watches: DiscoveryWatches,
     /// `None` if usage is not recorded.
     pending_replies: Option<PendingReplies>,
     exited: bool,
@@ -32,14 +31,14 @@
     pub(super) fn new(
         shared: Shared,
         peers: Option<PeerSocket>,
-        discovery_watch: AbortHandle,
+        watches: DiscoveryWatches,
         pending_replies: Option<PendingReplies>,
     ) -> EffectPerformer {
         EffectPerformer {
             shared,
             leaf_connections: HashMap::new(),
             peers,
-            discovery_watch,
+            watches,
             pending_replies,
             exited: false,
         }
@@ -107,9 +106,13 @@
             }
             Effect::SendDatagram { to, bytes } => self.send_datagram(to, &bytes),
             Effect::WatchEndpoints {
+                watch,
                 address,
                 from_version,
-            } => self.restart_discovery_watch(address, from_version),
+            } => self
+                .watches
+                .start(&self.shared, watch, address, from_version),
+            Effect::StopWatch { watch } => self.watches.stop(watch),
             Effect::CloseListener => {
                 self.shared.listener_closed.send_replace(true);
             }
@@ -196,11 +199,6 @@
         }
     }
 
-    fn restart_discovery_watch(&mut self, address: SocketAddr, from_version: Option<u64>) {
-        self.discovery_watch.abort();
-        self.discovery_watch = start_discovery_watch(&self.shared, address, from_version);
-    }
-
     fn exit(&mut self, report: &ExitReport) {
         let counters = serde_json::to_string(&report.counters).unwrap_or_default();
         let open_frontends = report.open_frontends;
@@ -219,18 +217,3 @@
         }
     }
 }
-
-/// Starts a watch for changes after version `from_version`; it requests a snapshot first if that is `None`.
-pub(super) fn start_discovery_watch(
-    shared: &Shared,
-    address: SocketAddr,
-    from_version: Option<u64>,
-) -> AbortHandle {
-    let watch = DiscoveryWatch::new(
-        shared.updates.clone(),
-        shared.watch_policy.clone(),
-        address,
-        from_version,
-    );
-    spawn_local(watch.run()).abort_handle()
-}
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -8,6 +8,7 @@
 mod client_listener;
 mod clock;
 mod discovery_watch;
+mod discovery_watches;
 mod driver;
 mod effects;
 mod frame_reader;
--- a/crates/mixer/tests/discovery_switch.rs
+++ b/crates/mixer/tests/discovery_switch.rs
@@ -2,8 +2,8 @@
 
 mod harness;
 
-use cottonhill_mixer::reducer::Input;
-use harness::{address, deployments, discovery_switched, listed, Harness, MS};
+use cottonhill_mixer::reducer::{Input, UpdateFault, WatchEvent, WatchId};
+use harness::{address, deployments, discovery_switched, listed, Harness, MS, SETTINGS};
 
 /// The events in this order, or swapped.
 fn ordered<T>(first: T, second: T, swapped: bool) -> [T; 2] {
@@ -29,7 +29,7 @@
     let mut harness = Harness::with_settings(settings_text, 2);
     harness.announce_status(&address(1), "draining");
     let drain = harness.next_update(false, &[listed(1, "draining")]);
-    let drain = Input::EndpointsUpdated(drain);
+    let drain = harness.update_input(drain);
     harness.apply_batch(ordered(drain, discovery_switched(), swapped));
     assert_eq!(
         harness.watches.len(),
@@ -74,7 +74,7 @@
     let connection = harness.first_connection();
     let opened = harness.connection_opened_input(connection);
     let update = harness.next_update(false, &[listed(1, status)]);
-    let update = Input::EndpointsUpdated(update);
+    let update = harness.update_input(update);
     harness.apply_batch(ordered(update, opened, swapped));
     harness.announce_status(&address(1), status);
     let calls_in_batch = harness.call_count();
@@ -121,3 +121,110 @@
     assert_eq!(harness.replies[&client].len(), 1);
     assert_eq!(harness.reducer.counters().faults, Default::default());
 }
+
+/// [`SETTINGS`] with one discovery service for all mixers.
+fn polled() -> String {
+    SETTINGS.to_string() + "discovery=on_request\nguarantees.ask_within_ns=10000000000\n"
+}
+
+/// Sends a query with one part, and returns the addresses that have been called since the last one.
+fn called_by_next_query(harness: &mut Harness) -> Vec<String> {
+    let called_before = harness.called_addresses().len();
+    harness.send_query(0, &[1.0]);
+    harness.open_all_connections();
+    harness.answer_all_parts();
+    harness.called_addresses()[called_before..].to_vec()
+}
+
+/// Guards against two watches of which the newer one delivers what was on its way while the older one delivered a drain:
+/// the drain stays, as a delta and, after a reload, also as a snapshot.
+#[test]
+fn update_of_a_new_watch_does_not_undo_later_changes_of_the_replaced_one() {
+    for snapshot in [false, true] {
+        let mut harness = Harness::with_settings(&polled(), 2);
+        harness.apply(discovery_switched());
+        let on_its_way = harness.next_update(snapshot, &[listed(1, "up"), listed(2, "up")]);
+        let drain = harness.next_update(false, &[listed(1, "draining")]);
+        harness.apply(Input::EndpointsUpdated {
+            watch: WatchId::FIRST,
+            update: drain,
+        });
+        assert!(
+            harness.stopped_watches.is_empty(),
+            "the new one has not answered"
+        );
+        harness.apply_update(on_its_way);
+        assert_eq!(harness.stopped_watches, [WatchId::FIRST]);
+        for _ in 0..4 {
+            let called = called_by_next_query(&mut harness);
+            assert_eq!(called, [address(2)]);
+        }
+        // The new watch goes on with what the replaced one had delivered.
+        harness.send_delta(&[listed(2, "draining")]);
+        assert!(
+            called_by_next_query(&mut harness).is_empty(),
+            "both are draining"
+        );
+    }
+}
+
+/// Guards against an update that a watch had queued when it was stopped: it is older than the list in force.
+#[test]
+fn update_of_a_stopped_watch_is_ignored() {
+    let mut harness = Harness::with_settings(SETTINGS, 2);
+    harness.apply(discovery_switched());
+    harness.send_snapshot(&[listed(1, "draining"), listed(2, "up")]);
+    assert_eq!(harness.stopped_watches, [WatchId::FIRST]);
+    let queued = harness.next_update(false, &[listed(2, "removed")]);
+    harness.apply(Input::EndpointsUpdated {
+        watch: WatchId::FIRST,
+        update: queued,
+    });
+    assert_eq!(called_by_next_query(&mut harness), [address(2)]);
+}
+
+/// Guards against a reload that forgets that an update was rejected: the new watch asked for the changes since the version
+/// before, got the same update again, and its changes were missing until yet another request.
+#[test]
+fn reload_after_a_rejected_update_requests_a_snapshot() {
+    let mut harness = Harness::with_settings(&polled(), 2);
+    let version = harness.reducer.endpoint_list_version();
+    harness.apply(discovery_switched());
+    assert_eq!(harness.watches, [Some(version)]);
+    let watch = harness.watch;
+    let event = WatchEvent::UpdateRejected(UpdateFault::Malformed);
+    harness.apply(Input::Watch { watch, event });
+    harness.apply(discovery_switched());
+    assert_eq!(harness.watches[1..], [None]);
+    // A delta has only a part of the changes.
+    harness.send_delta(&[]);
+    harness.apply(discovery_switched());
+    assert_eq!(harness.watches[2..], [None]);
+    harness.send_snapshot(&[listed(1, "up"), listed(2, "up")]);
+    harness.apply(discovery_switched());
+    assert_eq!(harness.watches[3..], [Some(version + 2)]);
+}
+
+/// Guards against descriptors that quick reloads take: a replaced watch goes on only while it has a connection, and few do.
+#[test]
+fn reloads_in_quick_succession_leave_few_watches() {
+    let mut harness = Harness::with_settings(&polled(), 1);
+    let mut watches = vec![WatchId::FIRST];
+    for _ in 0..10 {
+        harness.apply(discovery_switched());
+        watches.push(harness.watch);
+    }
+    // The three oldest and the newest run on.
+    assert_eq!(harness.stopped_watches, watches[3..10]);
+    for watch in [watches[1], watches[10]] {
+        let event = WatchEvent::Ended { timed_out: true };
+        harness.apply(Input::Watch { watch, event });
+    }
+    let renewed = "the current one is renewed";
+    assert_eq!(harness.stopped_watches[7..], [watches[1]], "{renewed}");
+    harness.apply(discovery_switched());
+    let unconnected = "it had no connection";
+    assert_eq!(harness.stopped_watches[8..], [watches[10]], "{unconnected}");
+    harness.send_delta(&[]);
+    assert_eq!(harness.stopped_watches[9..], [watches[0], watches[2]]);
+}
--- a/crates/mixer/tests/endpoint_updates.rs
+++ b/crates/mixer/tests/endpoint_updates.rs
@@ -13,7 +13,6 @@
 use cottonhill_mixer::protocol::http::WatchCodec;
 use cottonhill_mixer::protocol::query_json::Reply;
 use cottonhill_mixer::reducer::replicas::{Replicas, MAX_UPDATE_LAG};
-use cottonhill_mixer::reducer::Input;
 use harness::{address, listed, Harness, ListedEndpoint, MS};
 use loopback::{
     answer_frame, first_part_id, get_stats, http_chunk, query_text, read_frame, read_head,
@@ -212,11 +211,11 @@
     );
     let mut harness = Harness::new(1);
     let next = harness.next_update(false, &[]);
-    harness.apply(Input::EndpointsUpdated(EndpointUpdate {
+    harness.apply_update(EndpointUpdate {
         entries: update.entries,
         invalid_entries: 40,
         ..next
-    }));
+    });
     assert_eq!(harness.reducer.counters().update_faults.invalid_entries, 40);
 }
 
--- a/crates/mixer/tests/harness/discovery.rs
+++ b/crates/mixer/tests/harness/discovery.rs
@@ -118,7 +118,19 @@
 
     pub fn send_update(&mut self, snapshot: bool, endpoints: &[ListedEndpoint]) {
         let update = self.next_update(snapshot, endpoints);
-        self.apply(Input::EndpointsUpdated(update));
+        self.apply_update(update);
+    }
+
+    /// Applies an update that the current watch has received.
+    pub fn apply_update(&mut self, update: EndpointUpdate) {
+        let input = self.update_input(update);
+        self.apply(input);
+    }
+
+    /// The input of an update that the current watch has received.
+    pub fn update_input(&self, update: EndpointUpdate) -> Input {
+        let watch = self.watch;
+        Input::EndpointsUpdated { watch, update }
     }
 
     /// An update of the next version; the caller applies it.
@@ -144,8 +156,7 @@
             "status": "up",
             "since_ms": 0,
         });
-        let update = update_from_json(self.list_version, false, vec![entry]);
-        self.apply(Input::EndpointsUpdated(update));
+        self.apply_update(update_from_json(self.list_version, false, vec![entry]));
     }
 
     /// Reloads the configuration with another discovery address.
--- a/crates/mixer/tests/harness/mod.rs
+++ b/crates/mixer/tests/harness/mod.rs
@@ -19,7 +19,7 @@
 use cottonhill_mixer::protocol::leaf_frames::{CallPart, LeafRequest};
 use cottonhill_mixer::protocol::query_json::Reply;
 use cottonhill_mixer::reducer::usage::{UsageRecord, Watermark};
-use cottonhill_mixer::reducer::{ClientId, ConnectionId, Effect, Input, Reducer};
+use cottonhill_mixer::reducer::{ClientId, ConnectionId, Effect, Input, Reducer, WatchId};
 use cottonhill_mixer::settings;
 use discovery::{endpoint_update, update_from_json, AnnouncedStatus};
 use std::collections::{BTreeMap, BTreeSet};
@@ -78,6 +78,9 @@
     pub writes_stalled: bool,
     /// The version from which each requested watch resumes.
     pub watches: Vec<Option<u64>>,
+    /// The current watch.
+    pub watch: WatchId,
+    pub stopped_watches: Vec<WatchId>,
     pub usage_records: Vec<UsageRecord>,
     pub watermarks: Vec<Watermark>,
     /// The last announced status of each address.
@@ -101,7 +104,7 @@
 
     pub fn with_settings(settings_text: &str, replicas: u64) -> Harness {
         let mut harness = Harness::with_cached_list(settings_text, replicas, DEFAULT_DESCRIPTORS);
-        harness.apply(Input::EndpointsUpdated(endpoint_update(1, false, &[])));
+        harness.apply_update(endpoint_update(1, false, &[]));
         harness
     }
 
@@ -129,6 +132,8 @@
             has_exited: false,
             writes_stalled: false,
             watches: Vec::new(),
+            watch: WatchId::FIRST,
+            stopped_watches: Vec::new(),
             usage_records: Vec::new(),
             watermarks: Vec::new(),
             announced: BTreeMap::new(),
@@ -162,7 +167,7 @@
             })
         };
         let entries = (1..=shards).map(entry).collect();
-        harness.apply(Input::EndpointsUpdated(update_from_json(2, true, entries)));
+        harness.apply_update(update_from_json(2, true, entries));
         harness
     }
 }
@@ -215,7 +220,15 @@
             } => self.connect_to_leaf(connection, address.to_string()),
             Effect::WriteFrame { connection, frame } => self.write_frame(connection, frame),
             Effect::CloseConnection { connection } => self.remove_connection(connection),
-            Effect::WatchEndpoints { from_version, .. } => self.watches.push(from_version),
+            Effect::WatchEndpoints {
+                watch,
+                from_version,
+                ..
+            } => {
+                self.watches.push(from_version);
+                self.watch = watch;
+            }
+            Effect::StopWatch { watch } => self.stopped_watches.push(watch),
             Effect::SendDatagram { .. } => {}
             Effect::CloseListener => {
                 self.is_listening = false;
--- a/crates/mixer/tests/http.rs
+++ b/crates/mixer/tests/http.rs
@@ -7,7 +7,7 @@
     Request, RequestError, Response, ServerCodec, WatchCodec, WatchRejected, MAX_HEAD_BYTES,
 };
 use cottonhill_mixer::protocol::query_json::{
-    self, ClientRequest, Hit, QueryRequest, QuerySchema, Reply,
+    self, ClientRequest, Hit, Idempotency, QueryRequest, QuerySchema, Reply,
 };
 use decoding::decode_in_pieces;
 use proptest::prelude::*;
@@ -28,6 +28,7 @@
         classes: vec!["checkout".to_string()],
         tenants: vec!["acme".into()],
         default_timeouts: vec![5_000_000_000],
+        idempotencies: vec![Idempotency::Idempotent],
         minimum_coverages: vec![0.6],
         shards: 4,
     }
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -4,7 +4,7 @@
 
 use cottonhill_mixer::protocol::http::RequestError;
 use cottonhill_mixer::protocol::query_json::Reply;
-use cottonhill_mixer::reducer::Input;
+use cottonhill_mixer::reducer::{Input, WatchId};
 use harness::{query_request, Harness, MS, START};
 
 const NEW_ADDRESS: &str = "127.0.0.9:7070";
@@ -113,7 +113,10 @@
 fn snapshot_of_replica_2(address: &str) -> Input {
     let entry = serde_json::json!({"name": "s-2", "address": address, "group": 0, "status": "up"});
     let update = serde_json::json!({"index": 9, "snapshot": true, "endpoints": [entry]});
-    Input::EndpointsUpdated(serde_json::from_value(update).expect("a well-formed update"))
+    Input::EndpointsUpdated {
+        watch: WatchId::FIRST,
+        update: serde_json::from_value(update).expect("a well-formed update"),
+    }
 }
 
 #[test]
--- a/crates/mixer/tests/simulation/mod.rs
+++ b/crates/mixer/tests/simulation/mod.rs
@@ -7,8 +7,9 @@
 use cottonhill_mixer::protocol::http::ServerCodec;
 use cottonhill_mixer::protocol::leaf_frames::{LeafCodec, LeafRequest, LeafResponse};
 use cottonhill_mixer::protocol::query_json::{self, QuerySchema, Reply};
-use cottonhill_mixer::reducer::WatchEvent;
-use cottonhill_mixer::reducer::{ClientId, ConnectionId, Effect, Input, Reducer};
+use cottonhill_mixer::reducer::{
+    ClientId, ConnectionId, Effect, Input, Reducer, WatchEvent, WatchId,
+};
 use cottonhill_mixer::settings;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -35,6 +36,8 @@
     schema: QuerySchema,
     now: u64,
     random: fastrand::Rng,
+    /// The current watch.
+    watch: WatchId,
     clients: Vec<ClientId>,
     last_client: ClientId,
     connections: BTreeMap<ConnectionId, Connection>,
@@ -53,6 +56,7 @@
             default_timeouts: mixer_settings.deadlines.clone(),
             minimum_coverages: mixer_settings.minimum_coverages.clone(),
             shards: mixer_settings.shards,
+            ..QuerySchema::default()
         };
         let decision_settings =
             settings::parse_decisions(settings_text).expect("valid decision settings");
@@ -73,6 +77,7 @@
             schema,
             now: START,
             random: fastrand::Rng::with_seed(seed),
+            watch: WatchId::FIRST,
             clients: Vec::new(),
             last_client: 0,
             connections: BTreeMap::new(),
@@ -131,10 +136,14 @@
             Effect::SendDatagram { to, bytes } => {
                 self.record(format_args!("datagram to {to:?}: {}", bytes.escape_ascii()));
             }
+            // The watch ends by itself, too.
+            Effect::StopWatch { .. } => {}
             Effect::WatchEndpoints {
+                watch,
                 address,
                 from_version,
             } => {
+                self.watch = watch;
                 self.record(format_args!("watch {address} from {from_version:?}"));
             }
             Effect::CloseListener => {
@@ -344,7 +353,8 @@
             )
         };
         if let Ok(Some(update)) = endpoint_updates::parse(text.as_bytes()) {
-            self.apply(Input::EndpointsUpdated(update));
+            let watch = self.watch;
+            self.apply(Input::EndpointsUpdated { watch, update });
         }
     }
 
@@ -362,6 +372,12 @@
         self.now = end;
     }
 
+    /// An event of the current watch.
+    fn watch_event(&mut self, event: WatchEvent) {
+        let watch = self.watch;
+        self.apply(Input::Watch { watch, event });
+    }
+
     fn step(&mut self) {
         match self.random.u32(..100) {
             0..30 => self.send_request(),
@@ -372,8 +388,8 @@
                     self.close_client(client);
                 }
             }
-            85 => self.apply(Input::Watch(WatchEvent::Ended { timed_out: true })),
-            86 => self.apply(Input::Watch(WatchEvent::Heartbeat)),
+            85 => self.watch_event(WatchEvent::Ended { timed_out: true }),
+            86 => self.watch_event(WatchEvent::Heartbeat),
             87 if self.random.u32(..6) == 0 => {
                 let discovery = "127.0.0.1:8501".parse().ok();
                 self.apply(Input::ConfigReloaded { discovery });
--- a/crates/mixer/tests/watch_policy.rs
+++ b/crates/mixer/tests/watch_policy.rs
@@ -10,6 +10,7 @@
     duration: Duration::ZERO,
     received_any: false,
     timed_out: false,
+    answer_time: None,
     retry_after: None,
 };
 /// A watch is reset after a minute.
@@ -17,6 +18,7 @@
     duration: Duration::from_secs(60),
     received_any: true,
     timed_out: false,
+    answer_time: None,
     retry_after: None,
 };
 /// A watch stalls after a minute and times out.
