Query front: refuse what the reducer does not have yet when the process ends

Cause: at the shutdown deadline the reducer may return the exit in the same step in which it fails the last queries; a request behind one of them, one that becomes complete in the last 50 ms, or one in the queue of inputs was then passed to nobody.

Change: from the effect that has incomplete requests refused, connections answer further requests with 503 themselves, and the driver refuses what is left in its queue.

Test: a_request_behind_the_open_one_is_refused_at_the_shutdown_deadline (it passed before, too: the coordinator ends its queries shortly before the deadline). begun_requests, graceful_shutdown, event_ordering and client_connections pass.

--- a/crates/mixer/src/transport/client_connection.rs
+++ b/crates/mixer/src/transport/client_connection.rs
@@ -121,6 +121,11 @@
                 ControlFlow::Continue(request) => request,
                 ControlFlow::Break(end) => return Ok(end),
             };
+            if *self.shared.refusing_requests.borrow() {
+                drop(request);
+                self.refuse_request().await?;
+                return Ok(ConnectionEnd::LastResponse);
+            }
             let Some(keep_alive) = self.submit_request(request).await else {
                 return Ok(ConnectionEnd::Requested);
             };
@@ -199,17 +204,20 @@
             (false, false) => ConnectionEnd::Requested,
             (true, false) => ConnectionEnd::ClosedForOthers,
             (true, true) => {
-                self.refuse_incomplete_request().await?;
+                drop(
+                    self.reader
+                        .abandon_request(RequestError::closed_before_complete()),
+                );
+                self.refuse_request().await?;
                 ConnectionEnd::IncompleteRequestRefused
             }
         };
         Ok(Some(ControlFlow::Break(end)))
     }
 
-    /// Responds to a request that has arrived in part. Not by way of the reducer, which may have returned the exit.
-    async fn refuse_incomplete_request(&mut self) -> io::Result<()> {
+    /// Refuses a request that the reducer does not have. Not by way of the reducer, which may have returned the exit.
+    async fn refuse_request(&mut self) -> io::Result<()> {
         let error = RequestError::closed_before_complete();
-        drop(self.reader.abandon_request(error.clone()));
         let response = query_json::render(&Reply::InvalidRequest(error), true);
         self.send_response(response).await
     }
--- a/crates/mixer/src/transport/driver.rs
+++ b/crates/mixer/src/transport/driver.rs
@@ -142,12 +142,22 @@
                 Wakeup::TimerDue => self.process_batch(),
             }
         }
+        self.refuse_queued_requests(&mut queues.inputs);
         self.send_pending_replies().await;
         sleep(FINAL_FLUSH_DELAY).await;
         // Last, since it blocks the thread while the log is slow.
         self.effects.close_recorder();
     }
 
+    /// Refuses the requests that have arrived and that the reducer has not processed.
+    fn refuse_queued_requests(&self, inputs: &mut mpsc::Receiver<QueuedInput>) {
+        while let Ok(queued) = inputs.try_recv() {
+            if let Input::RequestReceived { client, .. } = queued.input {
+                self.effects.refuse_request(client);
+            }
+        }
+    }
+
     /// Sends the pending replies, each at the latest at its deadline.
     async fn send_pending_replies(&mut self) {
         while let Some(deadline) = self.effects.next_reply_deadline() {
--- a/crates/mixer/src/transport/effects.rs
+++ b/crates/mixer/src/transport/effects.rs
@@ -7,7 +7,9 @@
 use super::shared::Shared;
 use super::{Addresses, ClientReply, PendingReplies};
 use crate::log_targets;
+use crate::protocol::http::RequestError;
 use crate::protocol::leaf_frames::LeafRequest;
+use crate::protocol::query_json::Reply;
 use crate::reducer::resource_usage::TransportMemory;
 use crate::reducer::usage::{UsageRecord, Watermark};
 use crate::reducer::{ClientId, ConnectionId, Effect, ExitReport};
@@ -117,7 +119,7 @@
                 self.shared.listener_closed.send_replace(true);
             }
             Effect::RefuseIncompleteRequests => {
-                self.shared.refusing_incomplete.send_replace(true);
+                self.shared.refusing_requests.send_replace(true);
             }
             Effect::Exit(report) => self.exit(&report),
         }
@@ -154,6 +156,15 @@
         self.command_client(reply.client, command);
     }
 
+    /// Refuses a request that the reducer has not processed. The request has had no effect.
+    pub(super) fn refuse_request(&self, client: ClientId) {
+        self.send_reply(ClientReply {
+            client,
+            reply: Reply::InvalidRequest(RequestError::closed_before_complete()),
+            close: true,
+        });
+    }
+
     /// Sends the pending replies whose usage records are written or whose deadlines have passed.
     pub(super) fn send_ready_replies(&mut self) {
         while let Some(reply) = self
--- a/crates/mixer/src/transport/query_client.rs
+++ b/crates/mixer/src/transport/query_client.rs
@@ -94,7 +94,7 @@
 
     /// Waits until requests that have not arrived completely are to be refused because the mixer exits.
     pub async fn refusing_incomplete(&self) {
-        let mut refusing = self.shared.refusing_incomplete.subscribe();
+        let mut refusing = self.shared.refusing_requests.subscribe();
         let _ = refusing.wait_for(|refusing| *refusing).await;
     }
 }
--- a/crates/mixer/src/transport/shared.rs
+++ b/crates/mixer/src/transport/shared.rs
@@ -65,8 +65,8 @@
     pub query_schema: Rc<QuerySchema>,
     /// True once the mixer accepts no more connections.
     pub listener_closed: Rc<watch::Sender<bool>>,
-    /// True once requests that have not arrived completely are refused, since the process ends.
-    pub refusing_incomplete: Rc<watch::Sender<bool>>,
+    /// True once requests that the reducer does not have yet are refused, since the process ends.
+    pub refusing_requests: Rc<watch::Sender<bool>>,
     /// The registered clients.
     clients: Rc<RefCell<HashMap<ClientId, RegisteredClient>>>,
     /// Number of the registered clients that are connections.
@@ -100,7 +100,7 @@
             updates,
             query_schema: Rc::new(query_schema),
             listener_closed: Rc::new(watch::channel(false).0),
-            refusing_incomplete: Rc::new(watch::channel(false).0),
+            refusing_requests: Rc::new(watch::channel(false).0),
             clients: Rc::default(),
             connection_count: Rc::default(),
             at_capacity: Rc::new(watch::channel(false).0),
--- a/crates/mixer/tests/begun_requests.rs
+++ b/crates/mixer/tests/begun_requests.rs
@@ -261,6 +261,36 @@
     }
 }
 
+/// Guards against a request behind the open one that the exit at the shutdown deadline leaves unanswered.
+#[test]
+fn a_request_behind_the_open_one_is_refused_at_the_shutdown_deadline() {
+    let [.., short_deadlines, _] = deployments();
+    // Answers after the latency objective have a value here, so a query stays open until its deadline.
+    let settings_text = short_deadlines + "classes.0.late_value=0.9\nclasses.1.late_value=0.9\n";
+    run_against_mixer(&settings_text, MANY_DESCRIPTORS, |fixture| async move {
+        let started_at = Instant::now();
+        fixture.terminate().await;
+        sleep(MS(690)).await;
+        let mut clients = Vec::new();
+        for number in 0..3 {
+            let mut stream = fixture.connect_served(&format!("first-{number}")).await;
+            send_text(&mut stream, &query_text(&format!("slow-{number}"), "")).await;
+            send_text(&mut stream, &query_text(&format!("next-{number}"), "")).await;
+            clients.push(stream);
+        }
+        for stream in &mut clients {
+            for _ in 0..2 {
+                let response = response_or_end(stream).await.expect("a response");
+                let is_final = response.has_status(503) || response.has_status(504);
+                assert!(is_final, "{response:?}");
+            }
+            assert_closed(stream).await;
+        }
+        let elapsed = started_at.elapsed();
+        assert!((MS(1_150)..MS(1_300)).contains(&elapsed), "{elapsed:?}");
+    });
+}
+
 /// Guards against a connection that is closed in the middle of a request because others need descriptors: those between
 /// requests are closed in its place.
 #[test]
