--- a/crates/opensearch/src/front/mod.rs
+++ b/crates/opensearch/src/front/mod.rs
@@ -11,6 +11,7 @@
 mod response_body;
 mod route;
 mod search;
+mod shard_query;
 mod tracked_connection;
 mod tracked_stream;
 
