Both fronts: refuse a further request on a connection that is closed for others

Cause: since responses close a connection only if nothing has arrived behind their request, a client that always has a part of its next request sent could keep its connection while others need the descriptor. 24 such clients kept new ones out of a mixer with places for 12 until the test's limit (clients_that_send_requests_ahead_do_not_keep_others_out, 123 s, failed).

Change: a connection that was chosen for closing answers the open request, refuses the next one of which a part has arrived, and closes. The search front's table makes such a connection due at once.

Tests: that one and a_request_behind_the_one_that_crossed_the_close_for_another_client_is_refused_at_once pass, and begun_requests, client_connections, event_ordering, connections and search_front_connections, too.

--- a/crates/mixer/src/transport/client_connection.rs
+++ b/crates/mixer/src/transport/client_connection.rs
@@ -82,6 +82,7 @@
         commands,
         pipelined: None,
         close_requested: None,
+        is_closing_for_others: false,
         opened_at: Some(Instant::now()),
     };
     let end = connection.serve().await;
@@ -109,6 +110,8 @@
     pipelined: Option<ReceivedRequest>,
     /// Set if closing was requested while a response was written: whether immediately.
     close_requested: Option<bool>,
+    /// Whether other connections need the descriptor, so that no further request is waited for.
+    is_closing_for_others: bool,
     /// When the connection was opened; `None` once the wait for the first request has started.
     opened_at: Option<Instant>,
 }
@@ -138,6 +141,10 @@
             if close {
                 return Ok(ConnectionEnd::LastResponse);
             }
+            if self.is_closing_for_others && self.has_next_request() {
+                self.refuse_incomplete_request().await?;
+                return Ok(ConnectionEnd::IncompleteRequestRefused);
+            }
         }
     }
 
@@ -196,6 +203,7 @@
         &mut self,
         immediate: bool,
     ) -> io::Result<Option<ControlFlow<ConnectionEnd, ReceivedRequest>>> {
+        self.is_closing_for_others |= immediate;
         if let Ok(received) = self.reader.read_arrived_request().await {
             return request_or_end(received).map(Some);
         }
@@ -204,17 +212,20 @@
             (false, false) => ConnectionEnd::Requested,
             (true, false) => ConnectionEnd::ClosedForOthers,
             (true, true) => {
-                drop(
-                    self.reader
-                        .abandon_request(RequestError::closed_before_complete()),
-                );
-                self.refuse_request().await?;
+                self.refuse_incomplete_request().await?;
                 ConnectionEnd::IncompleteRequestRefused
             }
         };
         Ok(Some(ControlFlow::Break(end)))
     }
 
+    /// Refuses the request of which a part has arrived.
+    async fn refuse_incomplete_request(&mut self) -> io::Result<()> {
+        let reason = RequestError::closed_before_complete();
+        drop(self.reader.abandon_request(reason));
+        self.refuse_request().await
+    }
+
     /// Refuses a request that the reducer does not have. Not by way of the reducer, which may have returned the exit.
     async fn refuse_request(&mut self) -> io::Result<()> {
         let error = RequestError::closed_before_complete();
@@ -261,7 +272,10 @@
                         return Ok(ControlFlow::Continue(query_json::render(&reply, close)));
                     }
                     // Sent before the reducer processed the open request; the reply to it will close the connection.
-                    Some(ClientCommand::Close { .. } | ClientCommand::AbortResponse) => {}
+                    Some(ClientCommand::Close { immediate }) => {
+                        self.is_closing_for_others |= immediate;
+                    }
+                    Some(ClientCommand::AbortResponse) => {}
                     None => return Ok(ControlFlow::Break(ConnectionEnd::Requested)),
                 },
                 // Reading ahead detects immediately that the client closes the connection.
@@ -290,6 +304,7 @@
             self.shared.send_input(written).await;
         }
         self.close_requested = result?;
+        self.is_closing_for_others |= self.close_requested == Some(true);
         Ok(())
     }
 
--- a/crates/mixer/tests/begun_requests.rs
+++ b/crates/mixer/tests/begun_requests.rs
@@ -352,6 +352,41 @@
     }
 }
 
+/// Sends requests without end, each before the response to the one before it, and reads the responses. Connects again when the
+/// mixer closes the connection.
+async fn send_ahead(address: SocketAddr) {
+    loop {
+        let (mut reading, mut writing) = TcpStream::connect(address).await.unwrap().into_split();
+        spawn_local(async move {
+            let _ = tokio::io::copy(&mut reading, &mut tokio::io::sink()).await;
+        });
+        let (begin, go_on) = ("GET /-/ready HT", "TP/1.1\r\n\r\nGET /-/ready HT");
+        let mut sent = writing.write_all(begin.as_bytes()).await;
+        while sent.is_ok() {
+            sleep(MS(1)).await;
+            sent = writing.write_all(go_on.as_bytes()).await;
+        }
+    }
+}
+
+/// Guards against clients that keep their places because a part of their next request has always arrived: as others need
+/// the descriptors, one request is refused and the connection is closed.
+#[test]
+fn clients_that_send_requests_ahead_do_not_keep_others_out() {
+    run_against_mixer(&settings(), FEW_DESCRIPTORS, |fixture| async move {
+        for _ in 0..2 * MAX_CLIENTS {
+            spawn_local(send_ahead(fixture.address));
+        }
+        sleep(MS(500)).await;
+        for number in 0..5 {
+            let started_at = Instant::now();
+            fixture.connect_served(&format!("good-{number}")).await;
+            let elapsed = started_at.elapsed();
+            assert!(elapsed < MS(3_000), "{elapsed:?}");
+        }
+    });
+}
+
 /// Guards against a listener that resets the connections in its backlog when it closes while no further one can be
 /// accepted: their requests were sent completely.
 #[test]
--- a/crates/opensearch/src/front/connection.rs
+++ b/crates/opensearch/src/front/connection.rs
@@ -157,7 +157,11 @@
                 if !tracked.is_receiving() {
                     return ConnectionEnd::Closed;
                 }
-                Refusal::TimedOut
+                if tracked.is_closing() {
+                    Refusal::ConnectionClosing
+                } else {
+                    Refusal::TimedOut
+                }
             }
             () = tracked.close_requested() => {
                 if !tracked.is_receiving() && !tracked.has_admitted_request() {
--- a/crates/opensearch/src/front/connections.rs
+++ b/crates/opensearch/src/front/connections.rs
@@ -233,6 +233,7 @@
         match connection.activity {
             Activity::Opened { since } if is_closing => Some(since + FIRST_BYTE_WAIT),
             Activity::Idle { since } if is_closing => Some(since),
+            Activity::Receiving { since } if connection.is_closing => Some(since),
             Activity::Idle { since } => Some(since + self.idle_timeout),
             Activity::Opened { since } | Activity::Receiving { since } => {
                 Some(since + REQUEST_TIMEOUT)
@@ -249,6 +250,13 @@
             .is_some_and(|connection| matches!(connection.activity, Activity::Receiving { .. }))
     }
 
+    /// Whether the connection was selected for closing.
+    pub fn is_closing(&self, id: ConnectionId) -> bool {
+        self.connections
+            .get(&id)
+            .is_some_and(|connection| connection.is_closing)
+    }
+
     /// Whether the response to the open request is the last one: the connection is being closed, and no byte has arrived
     /// behind the request.
     pub fn closes_after_response(&self, id: ConnectionId) -> bool {
--- a/crates/opensearch/src/front/tracked_connection.rs
+++ b/crates/opensearch/src/front/tracked_connection.rs
@@ -180,6 +180,11 @@
         self.table().is_receiving(self.id)
     }
 
+    /// Whether the connection was selected for closing.
+    pub(super) fn is_closing(&self) -> bool {
+        self.table().is_closing(self.id)
+    }
+
     /// Whether the response to the open request is the last one.
     pub(super) fn closes_after_response(&self) -> bool {
         self.table().closes_after_response(self.id)
--- a/crates/opensearch/tests/connections.rs
+++ b/crates/opensearch/tests/connections.rs
@@ -126,6 +126,25 @@
     assert!(front.accept().1.is_empty(), "all others are new");
 }
 
+/// Guards against a client that keeps its connection because a part of its next request has always arrived.
+#[test]
+fn a_request_behind_the_one_that_crossed_the_close_for_another_client_is_refused_at_once() {
+    let mut front = Front::new();
+    let (id, _) = front.accept();
+    front.table.on_bytes_received(id, front.now);
+    front.now += MS(300);
+    for _ in 1..MAX_CONNECTIONS {
+        front.accept();
+    }
+    assert_eq!(front.accept().1, [id]);
+    assert!(front.table.is_closing(id));
+    front.receive_request(id);
+    front.table.on_bytes_received(id, front.now);
+    front.respond(id);
+    assert!(front.table.is_receiving(id));
+    assert_eq!(front.ms_left(id), Some(0));
+}
+
 /// Guards against a shutdown that ends connections in the middle of a request, or waits for those without one.
 #[test]
 fn draining_closes_connections_without_a_request_and_receives_begun_requests() {
