Search front: close lingering between requests, too; requests over TLS cut at every byte

Cause: a draining connection is due as soon as its response is written, which can be before hyper has ended it. It was then dropped without the lingering close, so that unread input could destroy the response, and over TLS without the end of the stream.

Change: a connection that is overdue between requests ends as after its last response. Only a client that does not read its response, or a place that another connection needs, ends one at once.

--- a/crates/opensearch/src/front/connection.rs
+++ b/crates/opensearch/src/front/connection.rs
@@ -89,12 +89,12 @@
 /// How the requests of a connection have ended.
 #[derive(Debug)]
 enum ConnectionEnd {
-    /// After the last response, or because the client has closed the connection or sent no HTTP.
+    /// After the last response, because the client has closed the connection or sent no HTTP, or between requests.
     Finished,
     /// A part of a request has arrived, and the connection has to be closed.
     IncompleteRequest(Refusal),
-    /// No request is open, or the client does not read the response.
-    Closed,
+    /// The client does not read its response, or another connection needs the place and no request has begun.
+    Aborted,
 }
 
 async fn serve_requests<S: AsyncRead + AsyncWrite + Unpin + 'static>(
@@ -127,7 +127,7 @@
             refusal.write_to(&mut stream).await;
             linger(&mut stream, &tracked).await;
         }
-        ConnectionEnd::Closed => {}
+        ConnectionEnd::Aborted => {}
     }
 }
 
@@ -154,8 +154,11 @@
                 return ConnectionEnd::Finished;
             }
             () = overdue.as_mut() => {
+                if tracked.is_responding() {
+                    return ConnectionEnd::Aborted;
+                }
                 if !tracked.is_receiving() {
-                    return ConnectionEnd::Closed;
+                    return ConnectionEnd::Finished;
                 }
                 if tracked.is_closing() {
                     Refusal::ConnectionClosing
@@ -165,7 +168,7 @@
             }
             () = tracked.close_requested() => {
                 if !tracked.is_receiving() && !tracked.has_admitted_request() {
-                    return ConnectionEnd::Closed;
+                    return ConnectionEnd::Aborted;
                 }
                 Refusal::ConnectionClosing
             }
--- a/crates/opensearch/src/front/connections.rs
+++ b/crates/opensearch/src/front/connections.rs
@@ -250,6 +250,13 @@
             .is_some_and(|connection| matches!(connection.activity, Activity::Receiving { .. }))
     }
 
+    /// Whether a response is being written on the connection.
+    pub fn is_responding(&self, id: ConnectionId) -> bool {
+        self.connections
+            .get(&id)
+            .is_some_and(|connection| matches!(connection.activity, Activity::Responding { .. }))
+    }
+
     /// Whether the connection was selected for closing.
     pub fn is_closing(&self, id: ConnectionId) -> bool {
         self.connections
--- a/crates/opensearch/src/front/tracked_connection.rs
+++ b/crates/opensearch/src/front/tracked_connection.rs
@@ -180,6 +180,11 @@
         self.table().is_receiving(self.id)
     }
 
+    /// Whether a response is being written.
+    pub(super) fn is_responding(&self) -> bool {
+        self.table().is_responding(self.id)
+    }
+
     /// Whether the connection was selected for closing.
     pub(super) fn is_closing(&self) -> bool {
         self.table().is_closing(self.id)
