--- a/crates/mixer/src/reducer/shutdown.rs
+++ b/crates/mixer/src/reducer/shutdown.rs
@@ -37,9 +37,8 @@
     }
 
     /// Fails the open queries, has the requests refused that are still being received, and stops waiting for clients and
-    /// the listener, since the process may be killed soon. A
-    /// frontend still writes the responses that depend on these queries; further queries of the same request are
-    /// rejected at once, since no time remains for them.
+    /// the listener, since the process may be killed soon. A frontend still writes the responses that depend on these
+    /// queries; further queries of the same request are rejected at once, since no time remains for them.
     pub(super) fn on_shutdown_deadline(&mut self, now: Nanos) {
         for id in self.queries.ids() {
             self.events.push(Event::ClientDisconnected { id });
